--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PY := .venv/bin/python
+.PHONY: venv lint test demo bench bench-report fuzz docs
+
+.venv/ok: requirements.lock pyproject.toml
+	test -x $(PY) || python3 -m venv .venv
+	$(PY) -m pip install -q -r requirements.lock
+	$(PY) -m pip install -q --no-deps --no-build-isolation -e .
+	touch .venv/ok
+
+venv: .venv/ok
+
+lint: venv
+	$(PY) -m ruff format --check papayaloom features
+	$(PY) -m flake8 papayaloom features
+	$(PY) -m mypy papayaloom
+
+test: venv
+	$(PY) -m behave $(BEHAVE_ARGS) --format progress
+
+demo: venv
+	$(PY) -m papayaloom.bench.demo --keep=$(or $(KEEP),0)
+
+bench: venv
+	$(PY) -m papayaloom.bench $(ARGS)
+
+bench-report: venv
+	$(PY) -m papayaloom.bench.report
+
+fuzz: venv
+	$(PY) -m features.machines.run --seconds=$(or $(SECONDS),600) --seed=$(or $(SEED),1)
+
+docs: venv
+	$(PY) -m papayaloom.version.page > docs/settings.md
--- /dev/null
+++ b/papayaloom/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks on virtual time, and the demo."""
--- /dev/null
+++ b/papayaloom/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Console scripts: thin commands over the documented modules."""
--- /dev/null
+++ b/papayaloom/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that live for one connection."""
--- /dev/null
+++ b/papayaloom/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Typed interfaces of the outside systems and their HTTP adapters."""
--- /dev/null
+++ b/papayaloom/process/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that live as long as the process."""
--- /dev/null
+++ b/papayaloom/standins/__init__.py
@@ -0,0 +1,1 @@
+"""In-memory stand-ins of the outside systems, with fault switches."""
