--- /dev/null
+++ b/papayaloom/version/declarations/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations of the settings, one module for each part that reads them."""
--- /dev/null
+++ b/papayaloom/version/setting.py
@@ -0,0 +1,72 @@
+"""How one setting is declared.
+
+Each part declares its settings in a module of
+:mod:`papayaloom.version.declarations` as a tuple named ``SETTINGS``.
+"""
+
+import enum
+
+import msgspec
+
+Value = bool | int | float | str | tuple[str, ...]
+
+
+class Axis(enum.Enum):
+    """Which kinds of branch may set a setting.
+
+    A setting belongs to one axis, so that a request never finds two branches
+    that both decide it.
+    """
+
+    FLEET = 'fleet'
+    ORGANISATION = 'organisation'
+    SERVICE = 'service'
+    MODEL = 'model'
+    TARGET = 'service or model'
+
+
+class Kind(enum.Enum):
+    """Type of a setting's value."""
+
+    BOOLEAN = 'boolean'
+    INTEGER = 'integer'
+    NUMBER = 'number'
+    TEXT = 'text'
+    TEXTS = 'list of texts'
+
+
+class Unit(enum.Enum):
+    """Unit of a setting's value."""
+
+    NONE = ''
+    SECONDS = 's'
+    MILLISECONDS = 'ms'
+    BYTES = 'bytes'
+    BYTES_PER_SECOND = 'bytes/s'
+    REQUESTS_PER_SECOND = 'requests/s'
+    TOKENS = 'tokens'
+    TOKENS_PER_SECOND = 'tokens/s'
+    SHARE = 'share (0 to 1)'
+    FACTOR = 'factor'
+    COUNT = 'count'
+
+
+class Setting(msgspec.Struct, frozen=True):
+    """Declaration of one setting.
+
+    :param path: dotted path, such as ``placement.load_multiple``.
+    :param low: lowest accepted number, inclusive.
+    :param high: highest accepted number, inclusive.
+    :param choices: accepted texts; empty when any text will do.
+    :param doc: one sentence for operators.
+    """
+
+    path: str
+    kind: Kind
+    unit: Unit
+    default: Value
+    axis: Axis
+    doc: str
+    low: float | None = None
+    high: float | None = None
+    choices: tuple[str, ...] = ()
