--- /dev/null
+++ b/papayaloom/standins/kv.py
@@ -0,0 +1,600 @@
+"""In-memory twin of the key-value service, with fault switches.
+
+:class:`MemoryKv` has the interface of :class:`papayaloom.ports.kv.Kv`.
+:func:`serve` puts the HTTP protocol of that module around it, with two
+endpoints more: ``GET /faults`` and ``PUT /faults`` read and replace the
+:class:`Faults`, and ``GET /counts`` reads the :class:`Counts`.
+"""
+
+import bisect
+import collections
+import errno
+import http
+import itertools
+import threading
+import time
+import typing
+import urllib.parse
+
+import msgspec
+from cheroot import wsgi
+
+from papayaloom import clock, errors
+from papayaloom.ports import kv
+
+# Older changes are forgotten; a watch that asks for them is told so.
+EVENTS_KEPT = 10_000
+# Waiting watches hold a thread each.
+_SERVER_THREADS = 64
+_EMPTY = b'{}'
+
+
+class Faults(msgspec.Struct):
+    """Fault switches; numbers of calls count down as they are used.
+
+    :param outage: no call has an effect or gets an answer.
+    :param refuse: so many calls are answered with 503, without effect.
+    :param drop_before: so many calls are lost on their way in.
+    :param drop_reply: so many calls take effect, and their reply is lost.
+    :param late_writes: so many writes get no answer and take effect
+        ``late_s`` seconds later.
+    :param slow_s: how long every call takes.
+    :param stale_s: reads see the state of so many seconds ago.
+    :param writes_per_s: rate of writes, 0 for no limit.
+    :param reads_per_s: rate of reads and watches, 0 for no limit.
+    :param only: ``writes`` or ``reads`` limits the counted switches to them.
+    """
+
+    outage: bool = False
+    refuse: int = 0
+    drop_before: int = 0
+    drop_reply: int = 0
+    late_writes: int = 0
+    late_s: float = 1.0
+    slow_s: float = 0
+    stale_s: float = 0
+    writes_per_s: float = 0
+    reads_per_s: float = 0
+    only: str = ''
+
+    def take(self, switch: str, *, is_write: bool) -> bool:
+        """Use up one of a counted switch; false when none is left."""
+        left: int = getattr(self, switch)
+        kind = 'writes' if is_write else 'reads'
+        if left <= 0 or self.only not in {'', kind}:
+            return False
+        setattr(self, switch, left - 1)
+        return True
+
+
+class Counts(msgspec.Struct):
+    """Calls that reached the service, the refused ones included."""
+
+    writes: int = 0
+    reads: int = 0
+    watches: int = 0
+    waiting: int = 0
+
+
+class _Lease(msgspec.Struct):
+    term_s: float
+    expires: float
+    keys: set[str]
+
+
+class _Table:
+    """Keys, revisions, changes and leases, without faults or locks."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.events: collections.deque[kv.Event] = collections.deque(
+            maxlen=EVENTS_KEPT,
+        )
+        self._entries: dict[str, kv.Entry] = {}
+        self._sorted: list[str] = []
+        self._leases: dict[str, _Lease] = {}
+        # Time, key and former entry of each change, for stale reads.
+        self._undo: collections.deque[tuple[float, str, kv.Entry | None]] = (
+            collections.deque(maxlen=EVENTS_KEPT)
+        )
+
+    def entries_at(self, since: float) -> dict[str, kv.Entry]:
+        """Return the entries as they were at a time."""
+        past = dict(self._entries)
+        for changed, key, former in reversed(self._undo):
+            if changed <= since:
+                break
+            if former is None:
+                past.pop(key, None)
+            else:
+                past[key] = former
+        return past
+
+    def get(self, key: str) -> kv.Entry | None:
+        """Return the entry of a key."""
+        return self._entries.get(key)
+
+    def list_keys(self, prefix: str, after: str) -> typing.Iterator[kv.Entry]:
+        """Return the entries of a prefix beyond a key."""
+        start = bisect.bisect_left(self._sorted, prefix)
+        if after:
+            start = max(start, bisect.bisect_right(self._sorted, after))
+        for key in itertools.islice(self._sorted, start, None):
+            if not key.startswith(prefix):
+                return
+            yield self._entries[key]
+
+    def put(self, now: float, key: str, body: kv.PutBody) -> kv.Written:
+        """Write by compare-and-swap."""
+        current = self._entries.get(key)
+        revision = current.revision if current else kv.ABSENT
+        if revision != body.expect:
+            return kv.Written(done=False, current=current)
+        if body.lease and body.lease not in self._leases:
+            return kv.Written(done=False, current=current)
+        if current is None:
+            bisect.insort(self._sorted, key)
+        elif current.lease:
+            self._leases[current.lease].keys.discard(key)
+        if body.lease:
+            self._leases[body.lease].keys.add(key)
+        self.revision += 1
+        self._entries[key] = kv.Entry(
+            key, body.value, self.revision, body.lease
+        )
+        self._undo.append((now, key, current))
+        self.events.append(kv.Event(key, self.revision, body.value))
+        return kv.Written(done=True, revision=self.revision)
+
+    def delete(self, now: float, key: str, expect: int) -> kv.Written:
+        """Delete by compare-and-swap."""
+        current = self._entries.get(key)
+        if current is None or current.revision != expect:
+            return kv.Written(done=False, current=current)
+        self._entries.pop(key)
+        self._sorted.pop(bisect.bisect_left(self._sorted, key))
+        if current.lease:
+            self._leases[current.lease].keys.discard(key)
+        self.revision += 1
+        self._undo.append((now, key, current))
+        self.events.append(kv.Event(key, self.revision, deleted=True))
+        return kv.Written(done=True, revision=self.revision)
+
+    def grant(self, now: float, term_s: float) -> kv.Lease:
+        """Return a new lease."""
+        self.revision += 1
+        lease = f'lease-{self.revision}'
+        self._leases[lease] = _Lease(term_s, now + term_s, set())
+        return kv.Lease(lease, term_s)
+
+    def keep(self, now: float, lease: str) -> bool:
+        """Start the term of a lease anew."""
+        kept = self._leases.get(lease)
+        if kept is None:
+            return False
+        kept.expires = now + kept.term_s
+        return True
+
+    def revoke(self, now: float, lease: str) -> None:
+        """End a lease and delete its keys."""
+        ended = self._leases.get(lease)
+        if ended is not None:
+            for key in sorted(ended.keys):
+                self.delete(now, key, self._entries[key].revision)
+            self._leases.pop(lease)
+
+    def expire(self, now: float) -> None:
+        """End the leases whose term is over."""
+        for lease, kept in list(self._leases.items()):
+            if kept.expires <= now:
+                self.revoke(now, lease)
+
+
+class _Bucket:
+    """Token bucket of one second's calls."""
+
+    def __init__(self) -> None:
+        self._level: float = 0
+        self._updated = float('-inf')
+
+    def take(self, now: float, rate: float) -> bool:
+        """Take one token; false when there is none."""
+        if rate <= 0:
+            return True
+        grown = self._level + (now - self._updated) * rate
+        self._level = min(max(rate, 1), grown)
+        self._updated = now
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
+
+
+_Answer = typing.TypeVar('_Answer')
+
+
+class MemoryKv:
+    """Key-value service in memory. Thread-safe.
+
+    :param now: source of time for leases, rates and late writes.
+    :param sleep: called with the seconds of a slow call; with a
+        ``VirtualClock``, pass its ``advance``.
+    :param blocking: whether a watch waits; without it, a watch answers
+        at once, as virtual time needs.
+    :param timeout_s: a slower call raises after its effect, as a client
+        would.
+    """
+
+    def __init__(
+        self,
+        now: clock.Clock,
+        *,
+        sleep: typing.Callable[[float], None] = time.sleep,
+        blocking: bool = False,
+        timeout_s: float = 2.0,
+    ) -> None:
+        """Start empty and without faults."""
+        self.faults = Faults()
+        self.counts = Counts()
+        self._clock = now
+        self._sleep = sleep
+        self._blocking = blocking
+        self._timeout_s = timeout_s
+        self._table = _Table()
+        self._changed = threading.Condition()
+        self._writes = _Bucket()
+        self._reads = _Bucket()
+        self._late: list[tuple[float, typing.Callable[[], object]]] = []
+
+    def get(self, key: str) -> kv.Entry | None:
+        """Return the entry of a key, or nothing."""
+
+        def read() -> kv.Entry | None:
+            if self.faults.stale_s:
+                return self._past().get(key)
+            return self._table.get(key)
+
+        return self._call(read, is_write=False)
+
+    def list_prefix(
+        self,
+        prefix: str,
+        after: str = '',
+        limit: int = 1000,
+        *,
+        values: bool = True,
+    ) -> kv.Listing:
+        """Return the entries of a prefix in lexical order."""
+
+        def read() -> kv.Listing:
+            found = list(self._list(prefix, after, limit + 1))
+            if not values:
+                found = [
+                    msgspec.structs.replace(entry, value=b'') for entry in found
+                ]
+            return kv.Listing(
+                tuple(found[:limit]),
+                more=len(found) > limit,
+                revision=self._table.revision,
+            )
+
+        return self._call(read, is_write=False)
+
+    def put(
+        self,
+        key: str,
+        value: bytes,
+        expect: int,
+        lease: str = '',
+    ) -> kv.Written:
+        """Write a key if it has the expected revision."""
+        if len(value) > kv.MAX_VALUE_BYTES:
+            raise errors.StoreUnavailableError(
+                f'value of {key} has {len(value)} bytes, over the limit',
+            )
+        body = kv.PutBody(value, expect, lease)
+        return self._call(
+            lambda: self._table.put(self._clock.monotonic(), key, body),
+            is_write=True,
+        )
+
+    def delete(self, key: str, expect: int) -> kv.Written:
+        """Delete a key if it has the expected revision."""
+        return self._call(
+            lambda: self._table.delete(self._clock.monotonic(), key, expect),
+            is_write=True,
+        )
+
+    def grant_lease(self, term_s: float) -> kv.Lease:
+        """Return a new lease."""
+        return self._call(
+            lambda: self._table.grant(self._clock.monotonic(), term_s),
+            is_write=True,
+        )
+
+    def keep_lease(self, lease: str) -> bool:
+        """Start the term of a lease anew; false when it has expired."""
+        return self._call(
+            lambda: self._table.keep(self._clock.monotonic(), lease),
+            is_write=True,
+        )
+
+    def revoke_lease(self, lease: str) -> None:
+        """End a lease; its keys vanish."""
+        self._call(
+            lambda: self._table.revoke(self._clock.monotonic(), lease),
+            is_write=True,
+        )
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> kv.Watched:
+        """Wait for changes of a prefix."""
+        until = self._clock.monotonic() + wait_s
+        self.counts.watches += 1
+        watched = self._call(
+            lambda: self._events(prefix, after), is_write=False
+        )
+        while self._blocking and not watched.events and not watched.lost:
+            with self._changed:
+                left = until - self._clock.monotonic()
+                if left <= 0:
+                    break
+                self.counts.waiting += 1
+                # Leases end without a call; look for that now and then.
+                self._changed.wait(min(left, 0.5))
+                self.counts.waiting -= 1
+                self._settle()
+                watched = self._events(prefix, after)
+        return watched
+
+    def _call(
+        self,
+        effect: typing.Callable[[], _Answer],
+        *,
+        is_write: bool,
+    ) -> _Answer:
+        with self._changed:
+            self._settle()
+            self._admit(is_write=is_write)
+            if is_write and self.faults.take('late_writes', is_write=True):
+                due = self._clock.monotonic() + self.faults.late_s
+                self._late.append((due, effect))
+                raise errors.StoreUnavailableError('no answer in time')
+            answer = effect()
+            lost = self.faults.take('drop_reply', is_write=is_write)
+            self._changed.notify_all()
+        if self.faults.slow_s:
+            self._sleep(min(self.faults.slow_s, self._timeout_s))
+        if lost or self.faults.slow_s >= self._timeout_s:
+            raise errors.StoreUnavailableError('no answer in time')
+        return answer
+
+    def _admit(self, *, is_write: bool) -> None:
+        now = self._clock.monotonic()
+        if is_write:
+            self.counts.writes += 1
+            within = self._writes.take(now, self.faults.writes_per_s)
+        else:
+            self.counts.reads += 1
+            within = self._reads.take(now, self.faults.reads_per_s)
+        lost = self.faults.outage or self.faults.take(
+            'drop_before', is_write=is_write
+        )
+        if lost:
+            raise errors.StoreUnavailableError('no answer in time')
+        if not within:
+            raise errors.StoreUnavailableError('over the rate')
+        if self.faults.take('refuse', is_write=is_write):
+            raise errors.StoreUnavailableError('refused')
+
+    def _settle(self) -> None:
+        now = self._clock.monotonic()
+        due = [late for late in self._late if late[0] <= now]
+        for late in due:
+            self._late.remove(late)
+            late[1]()
+        self._table.expire(now)
+
+    def _past(self) -> dict[str, kv.Entry]:
+        return self._table.entries_at(
+            self._clock.monotonic() - self.faults.stale_s,
+        )
+
+    def _list(self, prefix: str, after: str, limit: int) -> list[kv.Entry]:
+        if self.faults.stale_s:
+            past = self._past()
+            keys = sorted(
+                key for key in past if key.startswith(prefix) and key > after
+            )
+            return [past[key] for key in keys[:limit]]
+        found = self._table.list_keys(prefix, after)
+        return [entry for _, entry in zip(range(limit), found, strict=False)]
+
+    def _events(self, prefix: str, after: int) -> kv.Watched:
+        events = self._table.events
+        # Every revision but a lease's grant has one event.
+        lost = len(events) == EVENTS_KEPT and events[0].revision > after + 1
+        fresh = tuple(
+            event
+            for event in events
+            if event.revision > after and event.key.startswith(prefix)
+        )
+        return kv.Watched(() if lost else fresh, self._table.revision, lost)
+
+
+_Query = typing.Mapping[str, str]
+_Reply = tuple[int, bytes]
+
+
+class _Front:
+    """WSGI application around the twin."""
+
+    def __init__(self, store: MemoryKv) -> None:
+        self._store = store
+        self._routes: typing.Mapping[
+            tuple[str, str],
+            typing.Callable[[_Query, bytes], _Reply],
+        ] = {
+            ('GET', '/v1/key'): self._get,
+            ('PUT', '/v1/key'): self._put,
+            ('DELETE', '/v1/key'): self._delete,
+            ('GET', '/v1/keys'): self._list,
+            ('POST', '/v1/leases'): self._grant,
+            ('PUT', '/v1/leases'): self._keep,
+            ('DELETE', '/v1/leases'): self._revoke,
+            ('GET', '/v1/watch'): self._watch,
+            ('GET', '/faults'): lambda _, body: _json(store.faults),
+            ('PUT', '/faults'): self._put_faults,
+            ('GET', '/counts'): lambda _, body: _json(store.counts),
+        }
+
+    def __call__(
+        self,
+        environ: dict[str, typing.Any],
+        start_response: typing.Callable[..., typing.Any],
+    ) -> list[bytes]:
+        """Answer one request."""
+        size = int(environ.get('CONTENT_LENGTH') or 0)
+        body = environ['wsgi.input'].read(size) if size else b''
+        route = (environ['REQUEST_METHOD'], environ['PATH_INFO'])
+        query = dict(urllib.parse.parse_qsl(environ['QUERY_STRING']))
+        status, answer = self._answer(route, query, body)
+        phrase = http.HTTPStatus(status).phrase
+        start_response(
+            f'{status} {phrase}',
+            [
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(answer))),
+            ],
+        )
+        return [answer]
+
+    def _answer(
+        self,
+        route: tuple[str, str],
+        query: _Query,
+        body: bytes,
+    ) -> _Reply:
+        if route not in self._routes:
+            return http.HTTPStatus.NOT_IMPLEMENTED, _EMPTY
+        try:
+            return self._routes[route](query, body)
+        except (msgspec.DecodeError, KeyError, ValueError):
+            return http.HTTPStatus.BAD_REQUEST, _EMPTY
+        except errors.StoreUnavailableError as exc:
+            reason = str(exc)
+        if reason == 'refused':
+            return http.HTTPStatus.SERVICE_UNAVAILABLE, _EMPTY
+        if reason == 'over the rate':
+            return http.HTTPStatus.TOO_MANY_REQUESTS, _EMPTY
+        if 'over the limit' in reason:
+            return http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, _EMPTY
+        # cheroot closes the connection without an answer on this error.
+        raise ConnectionResetError(errno.ECONNRESET, reason)
+
+    def _get(self, query: _Query, body: bytes) -> _Reply:
+        entry = self._store.get(query['key'])
+        if entry is None:
+            return http.HTTPStatus.NOT_FOUND, _EMPTY
+        return _json(entry)
+
+    def _put(self, query: _Query, body: bytes) -> _Reply:
+        write = msgspec.json.decode(body, type=kv.PutBody)
+        return _written(
+            self._store.put(
+                query['key'],
+                write.value,
+                write.expect,
+                write.lease,
+            ),
+        )
+
+    def _delete(self, query: _Query, body: bytes) -> _Reply:
+        return _written(
+            self._store.delete(query['key'], int(query['expect'])),
+        )
+
+    def _list(self, query: _Query, body: bytes) -> _Reply:
+        return _json(
+            self._store.list_prefix(
+                query.get('prefix', ''),
+                query.get('after', ''),
+                int(query.get('limit', '1000')),
+                values=query.get('values') != '0',
+            ),
+        )
+
+    def _grant(self, query: _Query, body: bytes) -> _Reply:
+        wanted = msgspec.json.decode(body, type=kv.LeaseBody)
+        return _json(self._store.grant_lease(wanted.term_s))
+
+    def _keep(self, query: _Query, body: bytes) -> _Reply:
+        if self._store.keep_lease(query['lease']):
+            return http.HTTPStatus.OK, _EMPTY
+        return http.HTTPStatus.NOT_FOUND, _EMPTY
+
+    def _revoke(self, query: _Query, body: bytes) -> _Reply:
+        self._store.revoke_lease(query['lease'])
+        return http.HTTPStatus.OK, _EMPTY
+
+    def _watch(self, query: _Query, body: bytes) -> _Reply:
+        return _json(
+            self._store.watch(
+                query.get('prefix', ''),
+                int(query['after']),
+                float(query['wait_s']),
+            ),
+        )
+
+    def _put_faults(self, query: _Query, body: bytes) -> _Reply:
+        self._store.faults = msgspec.json.decode(body, type=Faults)
+        return _json(self._store.faults)
+
+
+def server(
+    host: str = '127.0.0.1',
+    port: int = 0,
+    store: MemoryKv | None = None,
+) -> wsgi.Server:
+    """Return an HTTP server around a twin; prepared, not yet serving.
+
+    Its ``bind_addr`` has the port that was chosen when ``port`` is 0. Run
+    ``serve()`` in a thread and end it with ``stop()``.
+
+    :param store: the twin, a new one on the host's clock by default.
+    """
+    twin = store or MemoryKv(clock.SystemClock(), blocking=True)
+    made = wsgi.Server(
+        (host, port),
+        _Front(twin),
+        numthreads=_SERVER_THREADS,
+        request_queue_size=128,
+    )
+    made.prepare()
+    return made
+
+
+def serve(host: str = '127.0.0.1', port: int = 7070) -> None:
+    """Serve a new twin until the process is interrupted.
+
+    :param host: address to listen on.
+    :param port: port to listen on, 0 for any free one.
+    """
+    made = server(host, port)
+    host_bound, port_bound = made.bind_addr[:2]
+    print(  # noqa: WPS421
+        f'kv: stand-in listens on http://{host_bound}:{port_bound}',
+        flush=True,
+    )
+    try:
+        made.serve()
+    except KeyboardInterrupt:
+        made.stop()
+
+
+def _json(answer: object) -> _Reply:
+    return http.HTTPStatus.OK, msgspec.json.encode(answer)
+
+
+def _written(written: kv.Written) -> _Reply:
+    status = http.HTTPStatus.OK if written.done else http.HTTPStatus.CONFLICT
+    return status, msgspec.json.encode(written)
