--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -73,6 +73,7 @@
     :param model: the engines' model.
     :param running: admitted and not finished requests.
     :param engines: how many engines it owns.
+    :param sequence: milliseconds of the sender's monotonic clock at the count.
     :param age_ms: how old the count was when this message was sent.
     """
 
@@ -196,6 +197,29 @@
     setting: str = ''
 
 
+class PromiseRequest(Message, frozen=True, array_like=True):
+    """Asks the second in rank not to admit to the sender's engines.
+
+    :param nonce: number chosen by the sender; the term counts from its sending.
+    :param engines: engines for which the sender ranks first.
+    """
+
+    nonce: int
+    engines: tuple[ids.EngineId, ...]
+
+
+class Promise(Message, frozen=True, array_like=True):
+    """The sender admits to the named engines no more, for a term.
+
+    :param promise_s: term in seconds, counted from the sending of the request.
+    :param counts: promised engines and the sender's running grants there.
+    """
+
+    nonce: int
+    promise_s: float
+    counts: tuple[tuple[ids.EngineId, int], ...]
+
+
 class Hold(Message, frozen=True, array_like=True):
     """Renews the sender's grants for running requests.
 
@@ -328,6 +352,8 @@
     | SettingsChunk
     | Ask
     | Answer
+    | PromiseRequest
+    | Promise
     | Hold
     | Release
     | HintRequest
--- /dev/null
+++ b/papayaloom/process/rights.py
@@ -0,0 +1,207 @@
+"""Which part of an engine's cap a router may use, by rank and promise."""
+
+import typing
+
+import msgspec
+
+from papayaloom import ids, messages
+from papayaloom.process import holds, promises, ranks
+
+MULTIPLE = 'placement.load_multiple'
+SETTLE = 'placement.settle_s'
+PROMISE = 'placement.promise_s'
+
+
+class Cfg(msgspec.Struct, frozen=True):
+    """Times that bound a router's right to admit.
+
+    :param settle_s: seconds that a router which has just become first waits,
+        so that the homes can name their running requests to it.
+    :param report_lag_s: seconds by which an engine's own report may lag.
+    :param confirm_s: seconds after the end of its promise in which a first
+        still uses its half; the others take over no earlier than that.
+    """
+
+    settle_s: float = 6
+    report_lag_s: float = 2
+    confirm_s: float = 30
+
+
+class Right(msgspec.Struct, frozen=True):
+    """How much of an engine's cap this router may use.
+
+    :param limit: most running grants of this router.
+    :param foreign: running grants of the other router, to be counted as well.
+    :param setting: path of the setting that decides when the limit is reached.
+    """
+
+    limit: int
+    foreign: int = 0
+    setting: str = MULTIPLE
+
+
+_NOTHING = Right(0, 0, PROMISE)
+_SETTLING = Right(0, 0, SETTLE)
+
+
+class Rights:
+    """Rights of one router to admit to engines.
+
+    :param router: own identity.
+    """
+
+    def __init__(
+        self,
+        cfg: Cfg,
+        router: ids.RouterId,
+        ranked: ranks.Ranks,
+        held: holds.Holds,
+        agreed: promises.Promises,
+    ) -> None:
+        """Start without promises."""
+        self._cfg = cfg
+        self._router = router
+        self._ranks = ranked
+        self._holds = held
+        self._promises = agreed
+        self._first_since: dict[ids.EngineId, float] = {}
+        self._reports: dict[ids.EngineId, tuple[int, float]] = {}
+        self._handed: dict[ids.EngineId, int] = {}
+        self._renewed = float('-inf')
+
+    def configure(self, cfg: Cfg) -> None:
+        """Take new times."""
+        self._cfg = cfg
+
+    def reported(self, engine: ids.EngineId, running: int, now: float) -> None:
+        """Note an engine's own count of running requests."""
+        self._reports[engine] = (running, now)
+
+    def right(self, engine: ids.EngineId, cap: int, now: float) -> Right:
+        """Return the right to an engine.
+
+        :param cap: the engine's cap at this moment.
+        """
+        if not self._ranks.quorate:
+            return _NOTHING
+        given = self._promises.given(engine)
+        if given and given.until > now:
+            return _NOTHING
+        order = self._ranks.order(engine)
+        if order[0] == self._router:
+            return self._first(engine, order, cap, now)
+        if given is None or given.first != order[0]:
+            return self._former(engine, cap, now)
+        if order[1] == self._router:
+            return self._second(engine, given, cap, now)
+        return _NOTHING
+
+    def handle(
+        self,
+        sender: ids.RouterId,
+        message: messages.Message,
+        now: float,
+    ) -> list[messages.Send]:
+        """Take a message about promises from another router."""
+        match message:
+            case messages.PromiseRequest():
+                counts = {
+                    engine: self._holds.count(engine)
+                    for engine in message.engines
+                    if self._ranks.precedes(sender, self._router, engine)
+                }
+                return [self._promises.give(sender, message, counts, now)]
+            case messages.Promise():
+                self._promises.take(sender, message)
+            case messages.Handover():
+                self._ranks.leave(sender)
+                self._handed.update(message.engines)
+        return []
+
+    def tick(
+        self,
+        engines: typing.Iterable[ids.EngineId],
+        renew_s: float,
+        now: float,
+    ) -> list[messages.Send]:
+        """Renew the promises for the engines that this router serves."""
+        wanted: dict[ids.RouterId, list[ids.EngineId]] = {}
+        for engine in engines:
+            second = self._second_to_ask(engine, now)
+            if second is not None:
+                wanted.setdefault(second, []).append(engine)
+        if now - self._renewed < renew_s:
+            return []
+        self._renewed = now
+        return [
+            self._promises.request(second, asked, now)
+            for second, asked in wanted.items()
+        ]
+
+    def _second_to_ask(
+        self,
+        engine: ids.EngineId,
+        now: float,
+    ) -> ids.RouterId | None:
+        order = self._ranks.order(engine)
+        if order[0] == self._router:
+            since = self._first_since.setdefault(engine, now)
+            # The former first goes on admitting until it is asked.
+            asks = self._settled(engine, since, now) and len(order) > 1
+            return order[1] if asks else None
+        self._first_since.pop(engine, None)
+        self._handed.pop(engine, None)
+        held = self._promises.newest(engine)
+        if held and held.until > now and not self._promises.given(engine):
+            return held.second
+        return None
+
+    def _settled(self, engine: ids.EngineId, since: float, now: float) -> bool:
+        return now - since >= self._cfg.settle_s or engine in self._handed
+
+    def _first(
+        self,
+        engine: ids.EngineId,
+        order: tuple[ids.RouterId, ...],
+        cap: int,
+        now: float,
+    ) -> Right:
+        since = self._first_since.setdefault(engine, now)
+        if not self._settled(engine, since, now):
+            return _SETTLING
+        if len(order) == 1:
+            return Right(cap)
+        held = self._promises.held(engine, order[1])
+        if held is None:
+            return _NOTHING
+        if held.until > now:
+            return Right(cap, held.foreign)
+        if held.until + self._cfg.confirm_s <= now:
+            return _NOTHING
+        return Right(cap - max(held.foreign, cap // 2), 0, PROMISE)
+
+    def _former(self, engine: ids.EngineId, cap: int, now: float) -> Right:
+        """Return the right of a first that a newer router has not asked yet."""
+        held = self._promises.newest(engine)
+        if held is None or held.until <= now:
+            return _NOTHING
+        return Right(cap, held.foreign)
+
+    def _second(
+        self,
+        engine: ids.EngineId,
+        given: promises.Given,
+        cap: int,
+        now: float,
+    ) -> Right:
+        """Return the right of a second whose promise has expired.
+
+        The first may still have a full cap of running requests from the time
+        of the promise. Only the engine's own report shows how many are left.
+        """
+        running, at = self._reports.get(engine, (cap, float('-inf')))
+        lag = self._cfg.report_lag_s
+        if at < given.until + lag or now - at > lag:
+            return _NOTHING
+        limit = min(cap // 2, cap - max(cap - cap // 2, running))
+        return Right(max(limit, 0), 0, PROMISE)
