--- /dev/null
+++ b/papayaloom/standins/wsgi.py
@@ -0,0 +1,154 @@
+"""HTTP server of the stand-ins, with an endpoint for the fault switches."""
+
+import errno
+import http
+import time
+import typing
+import urllib.parse
+
+import cheroot.wsgi
+import msgspec
+
+from papayaloom import errors
+from papayaloom.standins import faults
+
+_JSON = 'application/json'
+_MAX_BODY = 64 * 2**20
+
+
+class Call(msgspec.Struct, frozen=True):
+    """One HTTP request.
+
+    :param path: path segments, unquoted.
+    :param headers: names in lower case with hyphens.
+    """
+
+    method: str
+    path: tuple[str, ...]
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def number(self, header: str, default: int = 0) -> int:
+        """Return a header as a whole number."""
+        return int(self.headers.get(header, default))
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """One HTTP answer; a stream is sent chunk by chunk."""
+
+    status: int = 200
+    body: bytes = b''
+    content_type: str = _JSON
+    headers: tuple[tuple[str, str], ...] = ()
+    stream: typing.Iterator[bytes] | None = None
+
+
+Handler = typing.Callable[[Call], Reply]
+
+
+def json_reply(content: object, status: int = 200) -> Reply:
+    """Return a JSON answer."""
+    return Reply(status, msgspec.json.encode(content))
+
+
+def problem(
+    status: int,
+    title: str,
+    verdict: errors.Verdict = errors.Verdict.NOT_RUN,
+) -> Reply:
+    """Return a problem document (RFC 9457)."""
+    document = msgspec.to_builtins(errors.Problem(title, status))
+    document['verdict'] = verdict.value
+    content = msgspec.json.encode(document)
+    return Reply(status, content, 'application/problem+json')
+
+
+def drop_connection() -> typing.NoReturn:
+    """Close the connection without a further byte.
+
+    :raises ConnectionResetError: cheroot closes the connection silently.
+    """
+    raise ConnectionResetError(errno.ECONNRESET, 'dropped by a fault switch')
+
+
+def _call(environ: dict[str, typing.Any]) -> Call:
+    length = min(int(environ.get('CONTENT_LENGTH') or 0), _MAX_BODY)
+    path = environ['PATH_INFO'].strip('/')
+    headers = {
+        name.removeprefix('HTTP_').replace('_', '-').lower(): text
+        for name, text in environ.items()
+        if name.startswith('HTTP_')
+    }
+    return Call(
+        environ['REQUEST_METHOD'],
+        tuple(path.split('/')),
+        dict(urllib.parse.parse_qsl(environ.get('QUERY_STRING', ''))),
+        headers,
+        environ['wsgi.input'].read(length),
+    )
+
+
+def _fault_endpoint(call: Call, switches: faults.Faults) -> Reply:
+    try:
+        switches.change(**msgspec.json.decode(call.body or b'{}'))
+    except (ValueError, TypeError) as exc:
+        return problem(400, str(exc))
+    return json_reply(switches)
+
+
+def _answer(call: Call, handler: Handler, switches: faults.Faults) -> Reply:
+    if call.path == ('faults',):
+        return _fault_endpoint(call, switches)
+    if switches.delay_s:
+        time.sleep(switches.delay_s)
+    try:
+        return handler(call)
+    except errors.UpstreamError as exc:
+        if exc.verdict is errors.Verdict.NOT_RUN:
+            return problem(409, str(exc))
+    except (ValueError, msgspec.MsgspecError) as malformed:
+        return problem(400, str(malformed))
+    drop_connection()
+
+
+def application(
+    handler: Handler,
+    switches: faults.Faults,
+) -> typing.Callable[..., typing.Iterable[bytes]]:
+    """Return the WSGI application of a stand-in."""
+
+    def respond(
+        environ: dict[str, typing.Any],
+        start_response: typing.Callable[..., object],
+    ) -> typing.Iterable[bytes]:
+        reply = _answer(_call(environ), handler, switches)
+        phrase = http.HTTPStatus(reply.status).phrase
+        headers = [('Content-Type', reply.content_type), *reply.headers]
+        if reply.stream is None:
+            headers.append(('Content-Length', str(len(reply.body))))
+        start_response(f'{reply.status} {phrase}', headers)
+        return [reply.body] if reply.stream is None else reply.stream
+
+    return respond
+
+
+def server(
+    address: str,
+    handler: Handler,
+    switches: faults.Faults,
+    threads: int = 32,
+) -> cheroot.wsgi.Server:
+    """Return a server that is bound to an address but not yet serving.
+
+    :param address: ``host:port``; port 0 picks a free one.
+    """
+    host, _, port = address.rpartition(':')
+    http_server = cheroot.wsgi.Server(
+        (host, int(port)),
+        application(handler, switches),
+        numthreads=threads,
+        server_name='papayaloom-standin',
+    )
+    http_server.prepare()
+    return http_server
