Follow the engine protocol of ports/engine.py in the stand-in

Cause: ports/engine.py fixes the shapes of states, events, orders and refusals, and request/prompt.py the size and the prefix hashes of a prompt; the stand-in had its own. Change: the stand-in uses both modules; a restarted engine has a new boot, an empty event sequence and no memory of fencing tokens or order ids. Conclusion: fencing at engines holds within one boot only, so the holder's own margin has to cover a restart.

--- a/features/steps/engine_standin_steps.py
+++ b/features/steps/engine_standin_steps.py
@@ -5,11 +5,13 @@
 import urllib3
 
 from papayaloom import clock, errors
+from papayaloom.ports import engine as port
+from papayaloom.request import prompt
 from papayaloom.standins import batch, completion, engine, engine_server
 
 
 def request(name, text, chat='', offset=0, max_tokens=20, turns=()):
-    asked = (*turns, completion.Turn('user', text))
+    asked = (*turns, prompt.Message('user', text))
     return completion.Request(name, 'gecko', asked, chat, 0, max_tokens, offset)
 
 
@@ -29,7 +31,7 @@
     context.clock = clock.VirtualClock()
     context.engines = [
         engine.Engine(
-            engine.Cfg(name, 'gecko', cache_blocks=64, load_s=5),
+            engine.Cfg(name, 'gecko', cache_blocks=16, load_s=5),
             context.clock,
         )
         for name in ('e1', 'e2')
@@ -55,7 +57,7 @@
 
 @behave.when('the request resumes at the second engine')
 def resume(context):
-    so_far = completion.Turn('assistant', text(context.tokens))
+    so_far = prompt.Message('assistant', text(context.tokens))
     resumed = completion.Request(
         'r1',
         'gecko',
@@ -78,11 +80,11 @@
 @behave.when('a chat of {words:d} words returns to the first engine')
 def returning(context, words):
     first = context.engines[0]
-    long_text = ' '.join(str(number) for number in range(words))
+    long_text = ' '.join(f'word{number}' for number in range(words))
     first.submit(request('r1', long_text, 'c'))
     run(context, first)
-    said = completion.Turn('assistant', text(first.poll('r1', 0)))
-    context.turns = (completion.Turn('user', long_text), said)
+    said = prompt.Message('assistant', text(first.poll('r1', 0)))
+    context.turns = (prompt.Message('user', long_text), said)
     first.submit(request('r2', 'and now', 'c', turns=context.turns))
     run(context, first)
     context.tokens = first.poll('r2', 0)
@@ -98,7 +100,7 @@
 @behave.when('other chats fill the cache of the first engine')
 def fill(context):
     for number in range(4):
-        words = ' '.join(f'{number}-{word}' for word in range(300))
+        words = ' '.join(f'{number}-{word}' for word in range(400))
         context.engines[0].submit(request(f'f{number}', words, f'o{number}'))
         run(context, context.engines[0])
 
@@ -114,8 +116,8 @@
 
 @behave.then('the cache events name the eviction')
 def eviction_event(context):
-    events = context.engines[0].events(0)
-    assert ('removed', 'c') in {(event.kind, event.chat) for event in events}
+    events = context.engines[0].events(0).events
+    assert ('evicted', 'c') in {(event.kind, event.chat) for event in events}
 
 
 @behave.when('1 request runs on the first engine and {count:d} on the second')
@@ -142,16 +144,16 @@
 def order_load(context):
     first = context.engines[0]
     first.submit(request('r1', 'hello'))
-    context.order = engine.Order('o1', 1, 'load', 'gecko/2')
-    assert first.order(context.order)
+    context.order = port.Order('o1', 1, 'load-model', 'gecko/2')
+    assert not first.order(context.order).repeated
 
 
 @behave.then('a new request is refused as not run')
 def refused(context):
     try:
         context.engines[0].submit(request('r2', 'hello'))
-    except errors.UpstreamError as exc:
-        assert exc.verdict is errors.Verdict.NOT_RUN
+    except errors.RefusedError as exc:
+        assert exc.problem.verdict == 'not run'
     else:
         raise AssertionError('a loading engine took a request')
 
@@ -167,11 +169,14 @@
 
 @behave.then('the same order again changes nothing')
 def same_order(context):
-    assert context.engines[0].order(context.order)
-    assert not context.engines[0].state().loading
-    assert not context.engines[0].order(
-        engine.Order('o2', 0, 'load', 'gecko/3')
-    )
+    assert context.engines[0].order(context.order).repeated
+    assert not context.engines[0].loading
+    try:
+        context.engines[0].order(port.Order('o2', 0, 'role', 'prefill'))
+    except errors.RefusedError as exc:
+        assert exc.problem.type == port.OLD_FENCING
+    else:
+        raise AssertionError('an old fencing token was accepted')
     assert len(context.engines[0].carried_out) == 1
 
 
--- a/papayaloom/standins/batch.py
+++ b/papayaloom/standins/batch.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from papayaloom.request import prompt
 from papayaloom.standins import completion, prefix_cache
 
 _KEPT_RUNS = 1000
@@ -61,10 +62,10 @@
         """Queue a request by its priority, unless it is known."""
         if req.request in self._runs:
             return
-        run = completion.Run(req, completion.prompt_words(req))
+        run = completion.Run(req)
         self._runs[req.request] = run
         self._waiting.append(run)
-        self._waiting.sort(key=lambda queued: queued.req.priority)
+        self._waiting.sort(key=lambda queued: -queued.req.priority)
         if self.next_at is None:
             self._begin_step(now)
 
@@ -112,11 +113,11 @@
         )
 
     def _start(self, run: completion.Run) -> None:
-        words = run.words()
-        hashes = prefix_cache.block_hashes(words)
-        known = self._cache.match(hashes) * prefix_cache.BLOCK_TOKENS
-        run.cached = min(known, len(run.prompt))
-        run.prefill_left = len(words) - known
+        context = run.context()
+        hashes = prompt.prefixes(context)
+        known = self._cache.match(hashes) * prompt.BLOCK_TOKENS
+        run.cached = min(known, prompt.tokens(run.prompt))
+        run.prefill_left = prompt.tokens(context) - known
         self._cache.store(run.req.chat, hashes)
         self._running.append(run)
 
@@ -124,5 +125,5 @@
         return next(iter(self._runs.values())).finished
 
     def _keep(self, run: completion.Run) -> None:
-        hashes = prefix_cache.block_hashes(run.words())
+        hashes = prompt.prefixes(run.context())
         self._cache.store(run.req.chat, hashes)
--- a/papayaloom/standins/completion.py
+++ b/papayaloom/standins/completion.py
@@ -4,27 +4,21 @@
 import xxhash
 
 from papayaloom import ids
+from papayaloom.request import prompt
 from papayaloom.standins import answers
 
 
-class Turn(msgspec.Struct, frozen=True):
-    """One message of a conversation."""
-
-    role: str
-    content: str
-
-
 class Request(msgspec.Struct, frozen=True):
     """Request for a completion.
 
-    :param priority: lower numbers run first.
+    :param priority: higher numbers run first.
     :param max_tokens: length of the whole answer, resumed part included.
     :param resume_offset: number of tokens that the caller already has.
     """
 
     request: ids.RequestId
     model: ids.ModelId
-    messages: tuple[Turn, ...]
+    messages: tuple[prompt.Message, ...]
     chat: ids.ChatId = ids.ChatId('')
     priority: int = 0
     max_tokens: int = 256
@@ -53,11 +47,11 @@
 class Run:
     """State of one request at one engine."""
 
-    def __init__(self, req: Request, prompt: list[str]) -> None:
+    def __init__(self, req: Request) -> None:
         """Start before the first token."""
         self.req = req
-        self.prompt = prompt
-        self.seed = xxhash.xxh3_64_intdigest('\0'.join(prompt).encode())
+        self.prompt = prompt_bytes(req)
+        self.seed = xxhash.xxh3_64_intdigest(self.prompt)
         self.canned = answers.canned(question(req))
         self.offset = min(req.resume_offset, self.end)
         self._first = self.offset
@@ -85,9 +79,14 @@
             return self.canned[offset]
         return answers.word(self.seed, offset)
 
-    def words(self) -> list[str]:
+    def text(self, end: int) -> str:
+        """Return the answer up to an offset."""
+        return ''.join(f'{self.word(index)} ' for index in range(end))
+
+    def context(self) -> bytes:
         """Return the prompt and the answer so far."""
-        return self.prompt + [self.word(index) for index in range(self.offset)]
+        answer = prompt.Message('assistant', self.text(self.offset))
+        return self.prompt + prompt.flatten([answer])[:-1]
 
     def tokens_from(self, offset: int) -> list[Token]:
         """Return the tokens from an offset on that were produced here."""
@@ -100,7 +99,8 @@
             self.offset += 1
         if self.offset >= self.end:
             self.finished = True
-            usage = Usage(len(self.prompt), self.cached, self.offset)
+            size = prompt.tokens(self.prompt)
+            usage = Usage(size, self.cached, self.offset)
             self._append(now, '', self.reason, usage)
 
     def _append(
@@ -121,20 +121,15 @@
     return asked[-1] if asked else ''
 
 
-def prompt_words(req: Request) -> list[str]:
-    """Return the tokens of a prompt, without the answer to be resumed."""
+def prompt_bytes(req: Request) -> bytes:
+    """Return the prompt without the answer that is to be resumed."""
     turns = req.messages
     if req.resume_offset and turns and turns[-1].role == 'assistant':
         turns = turns[:-1]
-    words: list[str] = []
-    for turn in turns:
-        words.append(f'<{turn.role}>')
-        words.extend(turn.content.split())
-    words.append('<assistant>')
-    return words
+    return prompt.flatten(turns)
 
 
 def full_text(req: Request) -> str:
     """Return the whole answer that any engine gives to a request."""
-    run = Run(req, prompt_words(req))
-    return ''.join(f'{run.word(index)} ' for index in range(run.end))
+    run = Run(req)
+    return run.text(run.end)
--- a/papayaloom/standins/engine.py
+++ b/papayaloom/standins/engine.py
@@ -8,15 +8,14 @@
 import msgspec
 
 from papayaloom import clock, errors, ids
+from papayaloom.ports import engine as port
 from papayaloom.standins import batch, completion, faults, prefix_cache
 
-_KEPT_ORDERS = 1000
-
 
 class Cfg(msgspec.Struct, frozen=True):
     """Properties of an engine.
 
-    :param cache_blocks: blocks of 16 tokens that fit into the cache.
+    :param cache_blocks: blocks of 64 tokens that fit into the cache.
     :param cache_token_bytes: size of a cached token when it is exported.
     :param event_delay_s: age of a cache event when it becomes visible.
     :param event_gap_every: one cache event of this many is lost; 0 for none.
@@ -29,9 +28,10 @@
     name: ids.EngineId
     model: ids.ModelId
     version: ids.VersionId = ids.VersionId('1')
-    role: str = 'mixed'
+    role: str = 'serve'
     speed: batch.Cfg = batch.Cfg()
     cache_blocks: int = 4096
+    max_waiting: int = 1000
     cache_token_bytes: int = 131_072
     event_delay_s: float = 0
     event_gap_every: int = 0
@@ -41,40 +41,36 @@
     crash_marker: str = ''
 
 
-class Order(msgspec.Struct, frozen=True):
-    """Order of the holder of the lease.
-
-    :param action: ``load`` (argument ``model/version``), ``load_adapter``,
-        ``unload_adapter`` or ``set_role``.
-    """
+def _changes(order: port.Order, state: port.State) -> dict[str, object]:
+    if order.action == 'load-model':
+        model, _, version = order.argument.partition('/')
+        return {'model': model, 'version': version, 'adapters': ()}
+    if order.action == 'load-version':
+        return {'version': order.argument, 'adapters': ()}
+    if order.action == 'role':
+        return {'role': order.argument}
+    others = set(state.adapters) - {order.argument}
+    if order.action == 'load-adapter':
+        others.add(order.argument)
+    return {'adapters': tuple(sorted(others))}
 
-    order: ids.OrderId
-    fencing: int
-    action: str
-    argument: str
 
+class _Loads:
+    """History of the numbers of running and waiting requests."""
 
-class State(msgspec.Struct, frozen=True):
-    """Report of an engine.
+    def __init__(self) -> None:
+        self._changes = collections.deque([(float('-inf'), (0, 0))])
 
-    :param loading: the order that is being carried out, empty for none.
-    :param orders: the latest orders that were accepted, newest last.
-    :param fencing: highest fencing token of an accepted order.
-    :param boot: changes when the engine restarts.
-    """
+    def note(self, now: float, load: tuple[int, int]) -> None:
+        """Record the numbers from now on."""
+        if self._changes[-1][1] != load:
+            self._changes.append((now, load))
 
-    engine: ids.EngineId
-    model: ids.ModelId
-    version: ids.VersionId
-    adapters: tuple[str, ...] = ()
-    role: str = 'mixed'
-    running: int = 0
-    waiting: int = 0
-    leaving: bool = False
-    fencing: int = 0
-    loading: str = ''
-    orders: tuple[ids.OrderId, ...] = ()
-    boot: int = 0
+    def at(self, visible: float) -> tuple[int, int]:
+        """Return the numbers at a time, and forget the ones before."""
+        while len(self._changes) > 1 and self._changes[1][0] <= visible:
+            self._changes.popleft()
+        return self._changes[0][1]
 
 
 class Engine:
@@ -90,33 +86,42 @@
         """Start with an empty cache."""
         self.cfg = cfg
         self.faults = faults.Faults()
-        self.carried_out: list[Order] = []
+        self.carried_out: list[port.Order] = []
         self._clock = ticks
-        self._state = State(cfg.name, cfg.model, cfg.version, role=cfg.role)
+        self._state = port.State(
+            cfg.name, cfg.model, cfg.version, role=cfg.role, boot='0'
+        )
         self._seen = self._state
-        self._queue: list[Order] = []
+        self._known_orders: set[str] = set()
+        self._queue: list[port.Order] = []
         self._order_at: float | None = None
         self._log = prefix_cache.EventLog(ticks, cfg.event_gap_every)
         self.cache = prefix_cache.PrefixCache(cfg.cache_blocks, self._log.emit)
         self._batch = batch.Batch(cfg.speed, self.cache)
-        self._loads = collections.deque([(ticks.monotonic(), (0, 0))])
+        self._loads = _Loads()
+
+    @property
+    def loading(self) -> bool:
+        """Whether the engine carries out an order or waits to do so."""
+        return bool(self._queue)
 
     def submit(self, req: completion.Request) -> None:
         """Take a request; one that already runs is attached to.
 
-        :raises errors.UpstreamError: it was refused, or lost by a fault.
+        :raises errors.RefusedError: the engine does not take it.
+        :raises errors.UpstreamError: it was lost by a fault.
         """
         self.advance()
         self._strike()
-        reason = self._reason_to_refuse(req)
-        if reason:
-            raise errors.UpstreamError(reason, errors.Verdict.NOT_RUN)
+        refusal = self._refusal(req)
+        if refusal:
+            raise errors.RefusedError(refusal)
         marker = self.cfg.crash_marker
         if marker and marker in completion.question(req):
             self.faults.crash = 1
             self._strike()
         self._batch.add(req, self._clock.monotonic())
-        self._note_load(self._clock.monotonic())
+        self._loads.note(self._clock.monotonic(), self._batch.load)
         self.faults.after()
 
     def poll(
@@ -144,19 +149,17 @@
         """
         self.advance()
         known = self._batch.cancel(request)
-        self._note_load(self._clock.monotonic())
+        self._loads.note(self._clock.monotonic(), self._batch.load)
         self._begin_order(self._clock.monotonic())
         return known
 
-    def state(self) -> State:
-        """Return the report, as old as the configured lag."""
+    def state(self) -> port.State:
+        """Return the report; its load is as old as the configured lag."""
         self.advance()
         if self.faults.stale:
             return self._seen
         visible = self._clock.monotonic() - self.cfg.load_lag_s
-        while len(self._loads) > 1 and self._loads[1][0] <= visible:
-            self._loads.popleft()
-        running, waiting = self._loads[0][1]
+        running, waiting = self._loads.at(visible)
         self._seen = msgspec.structs.replace(
             self._state,
             running=running,
@@ -165,44 +168,48 @@
         )
         return self._seen
 
-    def events(self, after: int) -> list[prefix_cache.CacheEvent]:
+    def events(self, after: int) -> port.CacheEvents:
         """Return the visible cache events after a sequence number."""
         self.advance()
         visible = self._clock.monotonic() - self.cfg.event_delay_s
-        return self._log.after(after, visible)
+        return self._log.after(after, visible, self._state.boot)
 
-    def order(self, order: Order) -> bool:
+    def order(self, order: port.Order) -> port.OrderReply:
         """Accept an order; a known order id is not carried out again.
 
-        :returns: false when the fencing token was refused.
+        :raises errors.RefusedError: the fencing token is too old.
         :raises errors.UpstreamError: lost by a fault.
         """
         self.advance()
         self._strike()
         if self.cfg.checks_fencing and order.fencing < self._state.fencing:
-            return False
-        if order.order not in self._state.orders:
-            known = self._state.orders[1 - _KEPT_ORDERS :]
-            self._change(
-                fencing=max(order.fencing, self._state.fencing),
-                orders=(*known, order.order),
-                loading=order.order,
+            title = 'the fencing token is too old'
+            raise errors.RefusedError(
+                errors.Problem(title, 409, type=port.OLD_FENCING)
             )
+        repeated = order.order in self._known_orders
+        if not repeated:
+            self._known_orders.add(order.order)
+            highest = max(order.fencing, self._state.fencing)
+            self._change(fencing=highest)
             self.carried_out.append(order)
             self._queue.append(order)
             self._begin_order(self._clock.monotonic())
             self.advance()
         self.faults.after()
-        return True
+        return port.OrderReply(self._state, repeated)
 
     def crash(self) -> None:
         """Lose all requests, the cache and unfinished orders, and restart."""
         self._queue.clear()
         self._order_at = None
-        self._change(loading='', orders=(), boot=self._state.boot + 1)
+        self._known_orders.clear()
+        self._change(boot=str(int(self._state.boot) + 1), fencing=0)
+        self._log.restart()
         self.cache.clear()
+        self._log.restart()
         self._batch = batch.Batch(self.cfg.speed, self.cache)
-        self._note_load(self._clock.monotonic())
+        self._loads.note(self._clock.monotonic(), self._batch.load)
 
     def next_at(self) -> float | None:
         """Return the time of the next step, or nothing when idle."""
@@ -215,7 +222,7 @@
         while self._batch.next_at is not None and self._batch.next_at <= now:
             at = self._batch.next_at
             self._batch.step()
-            self._note_load(at)
+            self._loads.note(at, self._batch.load)
             self._begin_order(at)
         while self._order_at is not None and self._order_at <= now:
             self._end_order(self._order_at)
@@ -228,42 +235,31 @@
                 self.crash()
             raise
 
-    def _reason_to_refuse(self, req: completion.Request) -> str:
+    def _refusal(self, req: completion.Request) -> errors.Problem | None:
         if self.faults.leaving:
-            return 'the engine is leaving'
-        if self._state.loading:
-            return 'the engine is loading'
-        if req.model != self._state.model:
-            return f'the engine does not serve model {req.model!r}'
-        return ''
+            title = 'the engine is leaving'
+            return errors.Problem(title, 409, type=port.LEAVING)
+        if self.loading or req.model != self._state.model:
+            title = f'the engine does not serve model {req.model!r}'
+            return errors.Problem(title, 409, type=port.WRONG_MODEL)
+        if self._batch.load[1] >= self.cfg.max_waiting:
+            title = 'the queue of the engine is full'
+            return errors.Problem(title, 429, retry_after_s=1)
+        return None
 
     def _begin_order(self, now: float) -> None:
         busy = any(self._batch.load) or self._order_at is not None
         if self._queue and not busy:
-            instant = self._queue[0].action == 'set_role'
+            instant = self._queue[0].action == 'role'
             self._order_at = now if instant else now + self.cfg.load_s
 
     def _end_order(self, at: float) -> None:
         order = self._queue.pop(0)
         self._order_at = None
-        if order.action == 'load':
-            model, _, version = order.argument.partition('/')
-            self._change(model=model, version=version, adapters=())
+        self._change(**_changes(order, self._state))
+        if order.action in {'load-model', 'load-version'}:
             self.cache.clear()
-        elif order.action == 'set_role':
-            self._change(role=order.argument)
-        else:
-            others = set(self._state.adapters) - {order.argument}
-            if order.action == 'load_adapter':
-                others.add(order.argument)
-            self._change(adapters=tuple(sorted(others)))
-        if not self._queue:
-            self._change(loading='')
         self._begin_order(at)
 
     def _change(self, **changes: object) -> None:
         self._state = msgspec.structs.replace(self._state, **changes)
-
-    def _note_load(self, now: float) -> None:
-        if self._loads[-1][1] != self._batch.load:
-            self._loads.append((now, self._batch.load))
--- a/papayaloom/standins/engine_server.py
+++ b/papayaloom/standins/engine_server.py
@@ -11,7 +11,9 @@
 import msgspec
 
 from papayaloom import clock, errors, ids
-from papayaloom.standins import completion, engine, prefix_cache, wsgi
+from papayaloom.ports import engine as port
+from papayaloom.request import prompt
+from papayaloom.standins import completion, engine, wsgi
 
 _IDLE_S = 0.5
 _LONGEST_WAIT_S = 30
@@ -21,7 +23,7 @@
 
 class _Body(msgspec.Struct):
     model: ids.ModelId
-    messages: tuple[completion.Turn, ...]
+    messages: tuple[prompt.Message, ...]
     stream: bool = False
     max_tokens: int = 256
 
@@ -93,10 +95,9 @@
 
 
 def _event(token: completion.Token, request: str) -> bytes:
-    delta = {'content': token.content} if token.content else {}
     choice = {
         'index': 0,
-        'delta': delta,
+        'delta': {'content': token.content},
         'finish_reason': token.finish_reason,
     }
     event = {'id': request, 'offset': token.offset, 'choices': [choice]}
@@ -162,7 +163,7 @@
         resume_offset=call.number('x-resume-offset'),
     )
     if not req.request:
-        return wsgi.problem(400, 'the header X-Request-Id is missing')
+        return wsgi.refuse(400, 'the header X-Request-Id is missing')
     host.attach(req)
     if body.stream:
         return wsgi.Reply(
@@ -178,39 +179,48 @@
     until = time.monotonic() + wait_s
     with host.changed:
         events = host.engine.events(after)
-        while not events and time.monotonic() < until:
+        while not events.events and time.monotonic() < until:
             host.changed.wait(until - time.monotonic())
             events = host.engine.events(after)
-    return wsgi.json_reply({'events': events})
+    return wsgi.json_reply(events)
 
 
 def _cache(host: _Host, call: wsgi.Call) -> wsgi.Reply:
     chat = ids.ChatId(call.path[-1])
     with host.changed:
         if call.method == 'PUT':
-            body = msgspec.json.decode(call.body, type=_CacheBody)
+            body = msgspec.msgpack.decode(call.body, type=_CacheBody)
             host.engine.cache.store(chat, body.blocks)
+            return wsgi.Reply(204)
         blocks = host.engine.cache.export(chat)
-    tokens = len(blocks) * prefix_cache.BLOCK_TOKENS
+    if not blocks:
+        return wsgi.refuse(404, f'chat {chat!r} is not cached')
+    tokens = len(blocks) * prompt.BLOCK_TOKENS
     size = tokens * host.engine.cfg.cache_token_bytes
-    return wsgi.json_reply(_CacheBody(blocks, size))
+    content = msgspec.msgpack.encode(_CacheBody(blocks, size))
+    return wsgi.Reply(200, content, 'application/octet-stream')
 
 
 def _order(host: _Host, call: wsgi.Call) -> wsgi.Reply:
-    order = msgspec.json.decode(call.body, type=engine.Order)
+    order = msgspec.json.decode(call.body, type=port.Order)
     with host.changed:
-        accepted = host.engine.order(order)
+        reply = host.engine.order(order)
         host.changed.notify_all()
-    if not accepted:
-        return wsgi.problem(409, 'the fencing token is too old')
-    return wsgi.json_reply({'order': order.order}, 202)
+    return wsgi.json_reply(reply)
 
 
 def _cancel(host: _Host, call: wsgi.Call) -> wsgi.Reply:
     with host.changed:
-        known = host.engine.cancel(ids.RequestId(call.path[-1]))
+        host.engine.cancel(ids.RequestId(call.path[-1]))
         host.changed.notify_all()
-    return wsgi.json_reply({'cancelled': known})
+    return wsgi.Reply(204)
+
+
+def _health(host: _Host, call: wsgi.Call) -> wsgi.Reply:
+    with host.changed:
+        host.engine.advance()
+        busy = host.engine.loading or host.engine.faults.leaving
+    return wsgi.Reply(503 if busy else 200)
 
 
 def _state(host: _Host, call: wsgi.Call) -> wsgi.Reply:
@@ -226,6 +236,7 @@
     ('GET', 'cache', _cache),
     ('PUT', 'cache', _cache),
     ('POST', 'orders', _order),
+    ('GET', 'health', _health),
 )
 
 
@@ -243,9 +254,9 @@
 
     def handle(call: wsgi.Call) -> wsgi.Reply:
         for method, segment, route in _ROUTES:
-            if call.path[:2] == ('v1', segment) and call.method == method:
+            if segment in call.path[:2] and call.method == method:
                 return route(host, call)
-        return wsgi.problem(404, 'no such resource')
+        return wsgi.refuse(404, 'no such resource')
 
     bound = wsgi.server(address, handle, host.engine.faults, threads)
     threading.Thread(target=host.drive, daemon=True).start()
--- a/papayaloom/standins/faults.py
+++ b/papayaloom/standins/faults.py
@@ -42,7 +42,8 @@
     def before(self) -> None:
         """Apply the faults that strike before a call takes effect.
 
-        :raises errors.UpstreamError: the call is lost or refused.
+        :raises errors.UpstreamError: the call is lost.
+        :raises errors.RefusedError: the call is refused.
         """
         if self.take('crash'):
             raise errors.UpstreamError(
@@ -56,9 +57,8 @@
                 errors.Verdict.MAY_HAVE_RUN,
             )
         if self.take('refuse'):
-            raise errors.UpstreamError(
-                'the call was refused',
-                errors.Verdict.NOT_RUN,
+            raise errors.RefusedError(
+                errors.Problem('refused by a fault switch', 409)
             )
 
     def after(self) -> None:
--- a/papayaloom/standins/prefix_cache.py
+++ b/papayaloom/standins/prefix_cache.py
@@ -4,45 +4,13 @@
 import itertools
 import typing
 
-import msgspec
-import xxhash
-
 from papayaloom import clock, ids
+from papayaloom.ports import engine
+from papayaloom.request import prompt
 
-BLOCK_TOKENS = 16
 _KEPT_EVENTS = 10_000
 
 
-def block_hashes(
-    tokens: typing.Sequence[str],
-    block_tokens: int = BLOCK_TOKENS,
-) -> tuple[int, ...]:
-    """Return the chained hash of every whole block of a prompt."""
-    hashes = []
-    parent = 0
-    for start in range(0, len(tokens) - block_tokens + 1, block_tokens):
-        text = '\0'.join(tokens[start : start + block_tokens])
-        parent = xxhash.xxh3_64_intdigest(text.encode(), seed=parent)
-        hashes.append(parent)
-    return tuple(hashes)
-
-
-class CacheEvent(msgspec.Struct, frozen=True):
-    """Change of the cached prefix of a chat.
-
-    :param seq: number of the event; a missing number is a gap.
-    :param kind: ``stored``, ``removed`` or ``cleared``.
-    :param tokens: length of the chat's cached prefix afterwards.
-    :param blocks: chained hashes of the blocks that changed.
-    """
-
-    seq: int
-    kind: str
-    chat: ids.ChatId
-    tokens: int
-    blocks: tuple[int, ...] = ()
-
-
 class EventLog:
     """Cache events of an engine, for readers that come late.
 
@@ -54,7 +22,7 @@
         self._clock = ticks
         self._gap_every = gap_every
         self._seq = 0
-        self._events: collections.deque[tuple[float, CacheEvent]]
+        self._events: collections.deque[tuple[float, engine.CacheEvent]]
         self._events = collections.deque(maxlen=_KEPT_EVENTS)
 
     def emit(
@@ -68,16 +36,25 @@
         self._seq += 1
         if self._gap_every and self._seq % self._gap_every == 0:
             return
-        event = CacheEvent(self._seq, kind, ids.ChatId(chat), tokens, blocks)
+        event = engine.CacheEvent(
+            self._seq, kind, ids.ChatId(chat), blocks, tokens
+        )
         self._events.append((self._clock.monotonic(), event))
 
-    def after(self, seq: int, until: float) -> list[CacheEvent]:
+    def after(self, seq: int, until: float, boot: str) -> engine.CacheEvents:
         """Return the events after a number that happened by some time."""
-        return [
-            event
-            for at, event in self._events
-            if event.seq > seq and at <= until
-        ]
+        visible = [event for at, event in self._events if at <= until]
+        return engine.CacheEvents(
+            events=tuple(event for event in visible if event.sequence > seq),
+            last=visible[-1].sequence if visible else 0,
+            lost=bool(visible) and visible[0].sequence > seq + 1,
+            boot=boot,
+        )
+
+    def restart(self) -> None:
+        """Forget all events; the sequence starts again."""
+        self._seq = 0
+        self._events.clear()
 
 
 class PrefixCache:
@@ -120,8 +97,8 @@
             self._blocks.move_to_end(block)
         self._chats[chat] = kept
         if added:
-            self._emit('stored', chat, len(kept) * BLOCK_TOKENS, added)
-        self._evict()
+            self._emit('stored', chat, len(kept) * prompt.BLOCK_TOKENS, added)
+        self._drop(max(len(self._blocks) - self._capacity, 0))
 
     def export(self, chat: str) -> tuple[int, ...]:
         """Return the cached leading blocks of a chat."""
@@ -129,22 +106,21 @@
 
     def clear(self) -> None:
         """Drop everything."""
-        self._blocks.clear()
-        self._chats.clear()
-        self._emit('cleared', '', 0, ())
+        self._drop(len(self._blocks))
 
     def _leading(self, hashes: typing.Sequence[int]) -> list[int]:
         return list(
             itertools.takewhile(lambda block: block in self._blocks, hashes)
         )
 
-    def _evict(self) -> None:
+    def _drop(self, count: int) -> None:
         gone: dict[str, list[int]] = {}
-        while len(self._blocks) > self._capacity:
+        for _ in range(count):
             block, chat = self._blocks.popitem(last=False)
             gone.setdefault(chat, []).append(block)
         for owner, blocks in gone.items():
             left = len(self.export(owner))
             if not left:
                 self._chats.pop(owner, None)
-            self._emit('removed', owner, left * BLOCK_TOKENS, tuple(blocks))
+            tokens = left * prompt.BLOCK_TOKENS
+            self._emit('evicted', owner, tokens, tuple(blocks))
--- a/papayaloom/standins/wsgi.py
+++ b/papayaloom/standins/wsgi.py
@@ -52,16 +52,21 @@
     return Reply(status, msgspec.json.encode(content))
 
 
-def problem(
-    status: int,
-    title: str,
-    verdict: errors.Verdict = errors.Verdict.NOT_RUN,
-) -> Reply:
-    """Return a problem document (RFC 9457)."""
-    document = msgspec.to_builtins(errors.Problem(title, status))
-    document['verdict'] = verdict.value
-    content = msgspec.json.encode(document)
-    return Reply(status, content, 'application/problem+json')
+def problem(document: errors.Problem) -> Reply:
+    """Return a problem document (RFC 9457), always with its verdict."""
+    fields = msgspec.to_builtins(document)
+    fields['verdict'] = document.verdict
+    content = msgspec.json.encode(fields)
+    headers: tuple[tuple[str, str], ...] = ()
+    if document.retry_after_s:
+        headers = (('Retry-After', str(round(document.retry_after_s))),)
+    kind = 'application/problem+json'
+    return Reply(document.status, content, kind, headers)
+
+
+def refuse(status: int, title: str) -> Reply:
+    """Return a problem document with the verdict "not run"."""
+    return problem(errors.Problem(title, status))
 
 
 def drop_connection() -> typing.NoReturn:
@@ -93,7 +98,7 @@
     try:
         switches.change(**msgspec.json.decode(call.body or b'{}'))
     except (ValueError, TypeError) as exc:
-        return problem(400, str(exc))
+        return refuse(400, str(exc))
     return json_reply(switches)
 
 
@@ -104,12 +109,12 @@
         time.sleep(switches.delay_s)
     try:
         return handler(call)
-    except errors.UpstreamError as exc:
-        if exc.verdict is errors.Verdict.NOT_RUN:
-            return problem(409, str(exc))
+    except errors.RefusedError as exc:
+        return problem(exc.problem)
+    except errors.UpstreamError:
+        drop_connection()
     except (ValueError, msgspec.MsgspecError) as malformed:
-        return problem(400, str(malformed))
-    drop_connection()
+        return refuse(400, str(malformed))
 
 
 def application(
