--- a/papayaloom/errors.py
+++ b/papayaloom/errors.py
@@ -43,11 +43,42 @@
 
 
 class SettingsError(PapayaloomError):
-    """A settings document or edit was refused."""
+    """A settings document or edit was refused.
+
+    :param refusals: what is wrong with the document, one struct each
+        (:class:`papayaloom.version.document.Refusal`).
+    """
+
+    def __init__(
+        self,
+        message: str,
+        refusals: tuple[msgspec.Struct, ...] = (),
+    ) -> None:
+        """Keep the refusals beside the message."""
+        super().__init__(message)
+        self.refusals = refusals
 
 
 class ConflictError(SettingsError):
-    """A branch was changed by another editor in the meantime."""
+    """A branch was changed by another editor in the meantime.
+
+    :param version: version of the branch now, 0 when it does not exist.
+    :param theirs: text of the branch now.
+    :param mine: text that was to replace it.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        version: int = 0,
+        theirs: str = '',
+        mine: str = '',
+    ) -> None:
+        """Keep both texts."""
+        super().__init__(message)
+        self.version = version
+        self.theirs = theirs
+        self.mine = mine
 
 
 class StoreUnavailableError(PapayaloomError):
--- a/papayaloom/version/document.py
+++ b/papayaloom/version/document.py
@@ -221,7 +221,28 @@
     """Return the name of a member."""
     if isinstance(key, model.Identifier):
         return key.name
-    return typing.cast(model.String, key).characters
+    return _join_surrogates(typing.cast(model.String, key).characters)
+
+
+def member_line(text: str, name: str) -> int:
+    """Return the line of a member of a readable document, 0 without it."""
+    syntax = parse_syntax(text)
+    if isinstance(syntax, result.Ok):
+        for key, _ in getattr(syntax.ok_value.value, 'key_value_pairs', ()):
+            if key_name(key) == name:
+                return key.lineno or 0
+    return 0
+
+
+def _join_surrogates(text: str) -> str:
+    """Return a text with its pairs of escaped surrogates decoded.
+
+    json-five decodes each of two escapes on its own.
+    """
+    try:
+        return text.encode('utf-16', 'surrogatepass').decode('utf-16')
+    except UnicodeDecodeError:
+        return text
 
 
 def _syntax_refusal(text: str, exc: json5.JSON5DecodeError) -> Refusal:
@@ -248,7 +269,7 @@
 
 def _scalar(node: model.Value) -> object:
     if isinstance(node, model.String):
-        return node.characters
+        return _join_surrogates(node.characters)
     if isinstance(node, model.UnaryOp):
         amount = _scalar(node.value)
         if isinstance(amount, int | float):
--- a/papayaloom/version/schema.py
+++ b/papayaloom/version/schema.py
@@ -71,6 +71,15 @@
         }
     )
 )
+# Units that are words rather than symbols in a range.
+_ACCEPTED_UNITS = types.MappingProxyType(
+    {
+        setting.Unit.NONE: '',
+        setting.Unit.SHARE: ' (a share)',
+        setting.Unit.FACTOR: ' (a factor)',
+        setting.Unit.COUNT: '',
+    }
+)
 # Greater integers do not survive a conversion to a 64-bit float.
 _MAX_INTEGER = 2**53
 
@@ -119,7 +128,7 @@
     """Return the accepted values of a setting as text for operators."""
     if declared.choices:
         return 'one of {0}'.format(', '.join(declared.choices))
-    unit = f' {declared.unit.value}' if declared.unit.value else ''
+    unit = _ACCEPTED_UNITS.get(declared.unit, f' {declared.unit.value}')
     if declared.low is not None and declared.high is not None:
         return f'{declared.kind.value} from {declared.low:g} to {declared.high:g}{unit}'
     if declared.low is not None:
--- a/papayaloom/version/snapshot.py
+++ b/papayaloom/version/snapshot.py
@@ -220,11 +220,15 @@
 
     :raises errors.CodecError: the content is no full state.
     """
+    stream = zlib.decompressobj()
     try:
-        raw = zlib.decompressobj().decompress(content, _MAX_FULL_BYTES)
+        raw = stream.decompress(content, _MAX_FULL_BYTES)
         full = _full_decoder().decode(raw)
     except (zlib.error, msgspec.DecodeError) as exc:
         raise errors.CodecError(f'malformed full state: {exc}') from exc
+    # Before its end, the stream has not been compared with its checksum.
+    if not stream.eof or stream.unused_data:
+        raise errors.CodecError('malformed full state: cut or too long')
     return Snapshot(full.version, full.digest, full.branches, known)
 
 
