Stream chats through a router front, with resume and records

Cause: there was no request path.

A problem document now always has its verdict: 'not run' was the default and therefore omitted.

--- /dev/null
+++ b/features/fake_engine.py
@@ -0,0 +1,119 @@
+"""Minimal engine for tests of the request path; a script per request."""
+
+import json
+import socket
+import threading
+import time
+
+
+def event(request, offset, text='', finish=None):
+    choice = {
+        'index': 0,
+        'delta': {'content': text},
+        'finish_reason': finish,
+    }
+    body = {'id': request, 'offset': offset, 'choices': [choice]}
+    return f'data: {json.dumps(body)}\n\n'.encode()
+
+
+class FakeEngine:
+    """Serves HTTP on a loopback port; ``script`` writes the answer.
+
+    The script gets this engine, the connection, method, path, headers and
+    body. It returns whether the connection stays open.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = []
+        self.connections = 0
+        self._listener = socket.create_server(('127.0.0.1', 0), backlog=64)
+        self.url = 'http://127.0.0.1:%d' % self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(
+                target=self._serve, args=(conn,), daemon=True
+            ).start()
+
+    def _serve(self, conn):
+        with conn, conn.makefile('rb') as reader:
+            while True:
+                try:
+                    line = reader.readline()
+                    if not line:
+                        return
+                    method, path, _ = line.decode().split(' ', 2)
+                    headers = {}
+                    while (line := reader.readline().strip()) != b'':
+                        name, _, content = line.decode().partition(': ')
+                        headers[name.lower()] = content
+                    body = reader.read(int(headers.get('content-length', 0)))
+                    self.requests.append((method, path, headers, body))
+                    if not self.script(self, conn, method, path, headers, body):
+                        return
+                except (OSError, ValueError):
+                    return
+
+
+def head(status='200 OK', kind='text/event-stream', length=None):
+    framing = (
+        'Transfer-Encoding: chunked'
+        if length is None
+        else f'Content-Length: {length}'
+    )
+    return f'HTTP/1.1 {status}\r\nContent-Type: {kind}\r\n{framing}\r\n\r\n'.encode()
+
+
+def chunk(content):
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+def stream(tokens, pause_s=0, stop_at=None, end=b'0\r\n\r\n'):
+    """Return a script that streams tokens, and breaks before ``stop_at``."""
+
+    def script(engine, conn, method, path, headers, body):
+        if method != 'POST':
+            conn.sendall(b'HTTP/1.1 204 No Content\r\n\r\n')
+            return True
+        request = headers['x-request-id']
+        conn.sendall(head())
+        for offset in range(int(headers['x-resume-offset']), len(tokens)):
+            if offset == stop_at:
+                return False
+            conn.sendall(chunk(event(request, offset, tokens[offset])))
+            if pause_s:
+                time.sleep(pause_s)
+        conn.sendall(
+            chunk(
+                event(request, len(tokens), finish='stop') + b'data: [DONE]\n\n'
+            )
+            + end
+        )
+        return True
+
+    return script
+
+
+def problem(status, verdict, kind='about:blank'):
+    """Return a script that refuses every request."""
+
+    def script(engine, conn, method, path, headers, body):
+        content = json.dumps(
+            {'title': 'refused', 'type': kind, 'verdict': verdict}
+        ).encode()
+        conn.sendall(
+            head(status, 'application/problem+json', len(content)) + content
+        )
+        return True
+
+    return script
--- a/papayaloom/errors.py
+++ b/papayaloom/errors.py
@@ -13,9 +13,12 @@
     RAN = 'ran'
 
 
-class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+class Problem(msgspec.Struct, frozen=True):
     """Problem document (RFC 9457) with the fields that this fleet adds.
 
+    All fields are encoded: a document without a verdict would have to be read
+    as "may have run".
+
     :param status: HTTP status code.
     :param verdict: value of :class:`Verdict`.
     :param setting: path of the setting that decided the refusal.
--- a/papayaloom/ports/engine.py
+++ b/papayaloom/ports/engine.py
@@ -190,6 +190,9 @@
             read timeout passed.
         """
 
+    def patience(self, read_s: float) -> None:
+        """Change the read timeout, in seconds."""
+
     def close(self) -> bool:
         """Give the connection back.
 
--- /dev/null
+++ b/papayaloom/process/request_cfg.py
@@ -0,0 +1,42 @@
+"""Fills the limits of requests from the settings of one version."""
+
+from papayaloom.request import attempts, calls, chat, deadline, desk
+
+
+def deadlines(settings: desk.Settings, org: str) -> deadline.Cfg:
+    """Return the limits of deadlines of an organisation."""
+    return deadline.Cfg(
+        default_s=settings.resolve('request.deadline_s', org=org).value,
+        longest_s=settings.resolve('request.longest_deadline_s', org=org).value,
+    )
+
+
+def chats(settings: desk.Settings, target: str) -> chat.Cfg:
+    """Return the limits of a chat request to a model."""
+    return chat.Cfg(
+        retries=_attempts(settings, target),
+        connect_s=settings.resolve('stream.connect_s', target=target).value,
+        first_token_s=settings.resolve(
+            'stream.first_token_s', target=target
+        ).value,
+        idle_s=settings.resolve('stream.idle_s', target=target).value,
+        resumes=settings.resolve('stream.resumes', target=target).value,
+    )
+
+
+def service_calls(settings: desk.Settings, target: str) -> calls.Cfg:
+    """Return the limits of a call to a service."""
+    return calls.Cfg(
+        retries=_attempts(settings, target),
+        connect_s=settings.resolve('call.connect_s', target=target).value,
+        reply_s=settings.resolve('call.reply_s', target=target).value,
+        reply_bytes=settings.resolve('call.reply_bytes', target=target).value,
+    )
+
+
+def _attempts(settings: desk.Settings, target: str) -> attempts.Cfg:
+    return attempts.Cfg(
+        tries=settings.resolve('retry.tries', target=target).value,
+        base_s=settings.resolve('retry.base_s', target=target).value,
+        longest_s=settings.resolve('retry.longest_s', target=target).value,
+    )
--- /dev/null
+++ b/papayaloom/request/chat.py
@@ -0,0 +1,323 @@
+"""One chat request as a state machine.
+
+The I/O around it is in :mod:`papayaloom.process.upstream_io`: it carries out
+each step and tells the machine what happened.
+"""
+
+import random
+import typing
+
+import msgspec
+
+from papayaloom import errors, ids
+from papayaloom.connection import sse
+from papayaloom.ports import engine
+from papayaloom.request import attempts, desk, prompt, record, splice
+
+# Statuses of an engine's refusal after which another engine may accept.
+_ELSEWHERE = frozenset((409, 429, 503))
+
+
+class Cfg(msgspec.Struct, frozen=True):
+    """Limits of one chat request.
+
+    :param first_token_s: how long an engine may take for the first token.
+    :param idle_s: how long an engine may be silent after that.
+    :param resumes: how often an answer that has begun is resumed.
+    """
+
+    retries: attempts.Cfg = attempts.Cfg()
+    connect_s: float = 1
+    first_token_s: float = 30
+    idle_s: float = 10
+    resumes: int = 5
+
+
+class Facts(msgspec.Struct, frozen=True):
+    """What the caller asked for.
+
+    :param request_id: the caller's id, on the answer and its events.
+    :param upstream_id: unique id at the engines.
+    :param arrived: monotonic time in seconds.
+    :param deadline: monotonic time in seconds.
+    """
+
+    request_id: ids.RequestId
+    upstream_id: ids.RequestId
+    organisation: ids.OrgId
+    chat: ids.ChatId
+    priority: int
+    arrived: float
+    deadline: float
+    fingerprint: ids.Fingerprint
+    body: prompt.Body
+
+
+class Admit(msgspec.Struct, frozen=True):
+    """Ask the desk for a grant."""
+
+    ask: desk.ChatAsk
+
+
+class Pause(msgspec.Struct, frozen=True):
+    """Wait before the next try."""
+
+    seconds: float
+
+
+class Open(msgspec.Struct, frozen=True):
+    """Open a stream at an engine."""
+
+    grant: desk.Grant
+    completion: engine.Completion
+    timeouts: engine.Timeouts
+
+
+class Finish(msgspec.Struct, frozen=True):
+    """The whole answer was delivered."""
+
+
+class Fail(msgspec.Struct, frozen=True):
+    """The request ends with a problem document."""
+
+    problem: errors.Problem
+
+
+Step = Admit | Pause | Open | Finish | Fail
+
+
+class Chat:
+    """State of one chat request.
+
+    :param budget: takes a retry from the budgets of an engine that failed.
+    """
+
+    def __init__(
+        self,
+        facts: Facts,
+        cfg: Cfg,
+        rng: random.Random,
+        budget: typing.Callable[[str], bool],
+    ) -> None:
+        """Start with no try made."""
+        self.facts = facts
+        self.answer = splice.Splice(facts.upstream_id, facts.request_id)
+        self.tries: list[record.Try] = []
+        self.verdict = errors.Verdict.NOT_RUN
+        # Settings that decided the choice of engines, as path and target.
+        self.decided: list[tuple[str, str]] = []
+        self._cfg = cfg
+        self._rng = rng
+        self._budget = budget
+        self._avoid: tuple[ids.EngineId, ...] = ()
+        self._fruitless = 0
+        self._resumes = 0
+        self._parser = sse.Parser()
+
+    def admit(self, now: float) -> Admit | Fail:
+        """Return the first step, and the step after a pause."""
+        facts = self.facts
+        left = facts.deadline - now
+        if left <= 0:
+            return self._fail(504, attempts.Reason.DEADLINE)
+        text = self.answer.text.encode()
+        return Admit(
+            desk.ChatAsk(
+                request=facts.upstream_id,
+                organisation=facts.organisation,
+                chat=facts.chat,
+                model=facts.body.model,
+                fingerprint=facts.fingerprint,
+                priority=facts.priority,
+                deadline_s=left,
+                prompt_tokens=prompt.tokens(facts.body.prompt + text),
+                prefixes=prompt.prefixes(facts.body.prompt),
+                avoid=self._avoid,
+                resumed=self.answer.expected > 0,
+            )
+        )
+
+    def granted(self, grant: desk.Grant, now: float) -> Open:
+        """Use a grant."""
+        facts = self.facts
+        self.tries.append(
+            record.Try(
+                upstream=grant.engine,
+                reason=grant.reason,
+                offset=self.answer.expected,
+                started_s=now - facts.arrived,
+                cached_tokens=grant.cached_tokens,
+            )
+        )
+        self.decided.extend(grant.decided)
+        self.answer.resume()
+        self._parser = sse.Parser()
+        left = max(facts.deadline - now, 0.001)
+        completion = engine.Completion(
+            request=facts.upstream_id,
+            body=facts.body.encode(self.answer.text),
+            chat=facts.chat,
+            offset=self.answer.expected,
+            priority=facts.priority,
+            deadline_s=left,
+        )
+        timeouts = engine.Timeouts(
+            min(self._cfg.connect_s, left),
+            min(self._cfg.first_token_s, left),
+        )
+        return Open(grant, completion, timeouts)
+
+    def refused(self, problem: errors.Problem) -> Fail:
+        """Take the desk's refusal.
+
+        Its verdict is about the last try only; the caller gets the verdict of
+        the whole request.
+        """
+        return Fail(msgspec.structs.replace(problem, verdict=self._said()))
+
+    def received(self, chunk: bytes) -> bytes:
+        """Take bytes of the open stream.
+
+        :returns: frames for the caller. The stream is of no further use when
+            :attr:`flowing` is false afterwards.
+        """
+        try:
+            events = self._parser.feed(chunk)
+        except errors.CodecError:
+            self.answer.counts.malformed += 1
+            self.answer.state = splice.State.MALFORMED
+            return b''
+        if len(events) == 1:
+            return self.answer.take(events[0])
+        return b''.join([self.answer.take(event) for event in events])
+
+    @property
+    def flowing(self) -> bool:
+        """Tell whether the open stream may bring more of the answer."""
+        return self.answer.state is splice.State.OPEN
+
+    @property
+    def idle_s(self) -> float:
+        """Return how long an engine may be silent between tokens."""
+        return self._cfg.idle_s
+
+    def ended(
+        self, exc: errors.PapayaloomError | None, now: float
+    ) -> tuple[desk.Outcome, Step]:
+        """Take the end of the open stream.
+
+        :param exc: what broke it; nothing when it ended by itself.
+        :returns: the outcome for the desk, and the next step.
+        """
+        attempt = self.tries[-1]
+        attempt.seconds = now - self.facts.arrived - attempt.started_s
+        outcome = self._outcome(exc, attempt)
+        attempt.outcome = outcome.end.value
+        if outcome.end is desk.End.FINISHED:
+            self._note(errors.Verdict.RAN)
+            return outcome, Finish()
+        self._note(_verdict(exc))
+        return outcome, self._after(exc, outcome, now)
+
+    def abandoned(self, now: float) -> desk.Outcome:
+        """Take that the caller went away while a stream was open."""
+        attempt = self.tries[-1]
+        attempt.seconds = now - self.facts.arrived - attempt.started_s
+        attempt.outcome = desk.End.ABANDONED.value
+        self._note(errors.Verdict.MAY_HAVE_RUN)
+        return desk.Outcome(desk.End.ABANDONED, seconds=attempt.seconds)
+
+    def late(self) -> Fail:
+        """Take that the deadline passed."""
+        return self._fail(504, attempts.Reason.DEADLINE)
+
+    def _outcome(
+        self, exc: errors.PapayaloomError | None, attempt: record.Try
+    ) -> desk.Outcome:
+        answer = self.answer
+        prompt_tokens = prompt.tokens(self.facts.body.prompt)
+        return desk.Outcome(
+            end=_end(exc, answer.state),
+            tokens=prompt_tokens + answer.expected,
+            cached_tokens=answer.usage.cached_tokens,
+            leaving=(
+                isinstance(exc, errors.RefusedError)
+                and exc.problem.type == engine.LEAVING
+            ),
+            seconds=attempt.seconds,
+        )
+
+    def _after(
+        self,
+        exc: errors.PapayaloomError | None,
+        outcome: desk.Outcome,
+        now: float,
+    ) -> Step:
+        attempt = self.tries[-1]
+        if isinstance(exc, errors.RefusedError):
+            if exc.problem.status not in _ELSEWHERE:
+                return self.refused(exc.problem)
+        progress = self.answer.expected > attempt.offset
+        self._fruitless = 1 if progress else self._fruitless + 1
+        self._resumes += bool(self.answer.expected)
+        if self._resumes > self._cfg.resumes:
+            return self._fail(502, attempts.Reason.RESUMES)
+        self._avoid = (*self._avoid, ids.EngineId(attempt.upstream))
+        step = attempts.following(
+            self._cfg.retries,
+            attempts.Failure(
+                verdict=_verdict(exc),
+                tries=self._fruitless,
+                deadline=self.facts.deadline,
+                repeatable=True,
+                refused=outcome.end is desk.End.REFUSED,
+            ),
+            now,
+            self._rng,
+            lambda: self._budget(attempt.upstream),
+        )
+        if isinstance(step, attempts.Retry):
+            return Pause(step.pause_s)
+        late = step.reason is attempts.Reason.DEADLINE
+        return self._fail(504 if late else 502, step.reason)
+
+    def _note(self, verdict: errors.Verdict) -> None:
+        self.tries[-1].verdict = verdict.value
+        if verdict is not errors.Verdict.NOT_RUN:
+            self.verdict = verdict
+
+    def _said(self) -> str:
+        return self.verdict.value
+
+    def _fail(self, status: int, reason: attempts.Reason) -> Fail:
+        title, setting = reason.value
+        last = self.tries[-1].outcome if self.tries else 'none made'
+        return Fail(
+            errors.Problem(
+                title=title,
+                status=status,
+                detail=f'{len(self.tries)} tries, the last one: {last}',
+                verdict=self._said(),
+                setting=setting,
+            )
+        )
+
+
+def _verdict(exc: errors.PapayaloomError | None) -> errors.Verdict:
+    if isinstance(exc, errors.UpstreamError):
+        return exc.verdict
+    if isinstance(exc, errors.RefusedError):
+        return errors.Verdict(exc.problem.verdict)
+    return errors.Verdict.MAY_HAVE_RUN
+
+
+def _end(exc: errors.PapayaloomError | None, state: splice.State) -> desk.End:
+    if isinstance(exc, errors.RefusedError):
+        ran = exc.problem.verdict != errors.Verdict.NOT_RUN.value
+        return desk.End.FAILED if ran else desk.End.REFUSED
+    if isinstance(exc, errors.UpstreamError):
+        if exc.verdict is errors.Verdict.NOT_RUN:
+            return desk.End.UNREACHABLE
+        return desk.End.CRASHED if exc.crashed else desk.End.FAILED
+    finished = state is splice.State.FINISHED
+    return desk.End.FINISHED if finished else desk.End.FAILED
--- /dev/null
+++ b/papayaloom/request/record.py
@@ -0,0 +1,109 @@
+"""Record of one request, and its explanation for operators.
+
+A record holds no keys and no message texts.
+"""
+
+import msgspec
+
+from papayaloom import ids
+from papayaloom.request import desk, splice
+
+
+class Try(msgspec.Struct, kw_only=True):
+    """One try at an upstream.
+
+    :param reason: why this upstream.
+    :param offset: tokens that the caller had when the try began.
+    :param started_s: seconds after the arrival of the request.
+    """
+
+    upstream: str
+    reason: str = ''
+    offset: int = 0
+    started_s: float = 0
+    seconds: float = 0
+    outcome: str = ''
+    verdict: str = ''
+    cached_tokens: int = 0
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """A setting that decided something about the request."""
+
+    path: str
+    value: bool | int | float | str | tuple[str, ...]
+    branch: str
+    version: int
+
+
+class Record(msgspec.Struct, kw_only=True):
+    """What happened to one request.
+
+    :param upstream_id: id of the request at the upstreams.
+    :param kind: ``chat`` or ``call``.
+    :param target: ``models/<model>`` or ``services/<service>``.
+    :param subject: chat id, or method and path of the call.
+    :param first_byte_s: seconds until the first token; 0 without one.
+    """
+
+    request_id: ids.RequestId
+    upstream_id: ids.RequestId
+    kind: str
+    organisation: ids.OrgId
+    target: str = ''
+    subject: str = ''
+    router: str = ''
+    started_unix_ms: int = 0
+    settings_version: int = 0
+    status: int = 0
+    verdict: str = ''
+    problem: str = ''
+    first_byte_s: float = 0
+    seconds: float = 0
+    tokens: int = 0
+    tries: list[Try] = msgspec.field(default_factory=list)
+    decisions: list[Decision] = msgspec.field(default_factory=list)
+    dropped: splice.Counts = msgspec.field(default_factory=splice.Counts)
+
+    def decided(
+        self, settings: desk.Settings, path: str, target: str = ''
+    ) -> None:
+        """Note a setting that decided something."""
+        if not path:
+            return
+        found = settings.resolve(
+            path, org=self.organisation, target=target or self.target
+        )
+        decision = Decision(path, found.value, found.branch, found.version)
+        if decision not in self.decisions:
+            self.decisions.append(decision)
+
+
+def explain(record: Record) -> list[str]:
+    """Describe a record in sentences, one a line."""
+    lines = [
+        f'{record.kind} {record.request_id} of {record.organisation} to '
+        f'{record.target} ({record.subject or "no chat id"}) under settings '
+        f'version {record.settings_version}.',
+    ]
+    for number, attempt in enumerate(record.tries, start=1):
+        lines.append(
+            f'Try {number} at {attempt.upstream} ({attempt.reason}) began at '
+            f'{attempt.started_s:.3f} s from token {attempt.offset} with '
+            f'{attempt.cached_tokens} cached tokens: {attempt.outcome} after '
+            f'{attempt.seconds:.3f} s, verdict {attempt.verdict}.',
+        )
+    for decision in record.decisions:
+        lines.append(
+            f'{decision.path} is {decision.value!r}, set by '
+            f'{decision.branch or "the default"} in version '
+            f'{decision.version}.',
+        )
+    ending = f'Status {record.status}, verdict {record.verdict}'
+    if record.problem:
+        ending = f'{ending}, problem "{record.problem}"'
+    lines.append(
+        f'{ending}; {record.tokens} tokens, the first after '
+        f'{record.first_byte_s:.3f} s, the last after {record.seconds:.3f} s.',
+    )
+    return lines
--- /dev/null
+++ b/papayaloom/standins/desk.py
@@ -0,0 +1,172 @@
+"""In-memory twin of :class:`papayaloom.request.desk.Desk`.
+
+It serves tests and benchmarks of the request path: engines and replicas are
+taken in turn, claims are kept in a dictionary.
+"""
+
+import itertools
+import threading
+import typing
+
+import msgspec
+import result
+
+from papayaloom import errors, ids
+from papayaloom.request import desk
+
+
+class Resolved(msgspec.Struct, frozen=True):
+    """Value of a setting."""
+
+    value: typing.Any
+    branch: str = ''
+    version: int = 0
+
+
+class Settings:
+    """Fixed settings; unknown paths have the given fallback values."""
+
+    def __init__(self, values: dict[str, typing.Any], version: int = 1):
+        """Keep the values by path."""
+        self.version = version
+        self._values = values
+
+    def resolve(
+        self, path: str, *, org: str = '', target: str = ''
+    ) -> Resolved:
+        """Return a value; the branch is ``fleet``."""
+        return Resolved(self._values[path], 'fleet', self.version)
+
+
+class Desk:
+    """Desk with fixed engines, replicas and organisation keys.
+
+    :param engines: base URL of each engine, in the order of choice.
+    :param replicas: base URLs of the replicas of each service.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        engines: dict[str, str],
+        replicas: dict[str, tuple[str, ...]] | None = None,
+        keys: dict[str, str] | None = None,
+    ) -> None:
+        """Start with no grants and no claims."""
+        self.engines = engines
+        self.replicas = replicas or {}
+        self.keys = keys or {}
+        self.refusal: errors.Problem | None = None
+        self.budget = 1_000_000
+        self.open_grants: dict[int, desk.Grant] = {}
+        self.outcomes: list[tuple[str, desk.Outcome]] = []
+        self.failures: list[desk.Failure] = []
+        self.claims: dict[str, desk.CallOutcome | None] = {}
+        self._settings = settings
+        self._numbers = itertools.count(1)
+        self._held: dict[int, str] = {}
+        self._lock = threading.Lock()
+
+    def organisation(self, key: str) -> ids.OrgId | None:
+        """Return whose key this is."""
+        found = self.keys.get(key)
+        return None if found is None else ids.OrgId(found)
+
+    def settings(self) -> Settings:
+        """Return the settings."""
+        return self._settings
+
+    def admit(
+        self, ask: desk.ChatAsk
+    ) -> result.Result[desk.Grant, errors.Problem]:
+        """Grant the first engine that is not avoided."""
+        if self.refusal is not None:
+            return result.Err(self.refusal)
+        names = [name for name in self.engines if name not in ask.avoid]
+        if not names:
+            return result.Err(errors.Problem('no engine is left', 503))
+        grant = desk.Grant(
+            ask=next(self._numbers),
+            engine=ids.EngineId(names[0]),
+            url=self.engines[names[0]],
+            reason='first engine',
+        )
+        self.open_grants[grant.ask] = grant
+        return result.Ok(grant)
+
+    def renew(self, grant: desk.Grant) -> None:
+        """Do nothing: grants of the twin do not expire."""
+
+    def release(self, grant: desk.Grant, outcome: desk.Outcome) -> None:
+        """Take a grant back; a second release is an error."""
+        self.open_grants.pop(grant.ask)
+        self.outcomes.append((grant.engine, outcome))
+
+    def replica(
+        self, service: ids.ServiceId, avoid: tuple[str, ...] = ()
+    ) -> result.Result[desk.Replica, errors.Problem]:
+        """Return the first replica that is not avoided."""
+        if service not in self.replicas:
+            return result.Err(errors.Problem('unknown service', 404))
+        urls = [url for url in self.replicas[service] if url not in avoid]
+        if not urls:
+            return result.Err(errors.Problem('no replica is left', 503))
+        return result.Ok(desk.Replica(urls[0], urls[0], 'first replica'))
+
+    def served(
+        self, replica: desk.Replica, end: desk.End, seconds: float
+    ) -> None:
+        """Do nothing."""
+
+    def claim(
+        self, ask: desk.CallAsk
+    ) -> result.Result[desk.Claim, errors.Problem]:
+        """Claim a key."""
+        name = f'{ask.organisation}/{ask.service}/{ask.key}'
+        number = next(self._numbers)
+        with self._lock:
+            known = name in self.claims
+            found = self.claims.setdefault(name, None)
+            self._held[number] = name
+        if not known:
+            return result.Ok(desk.Claim(number, desk.ClaimState.GRANTED))
+        if found is None:
+            return result.Ok(desk.Claim(number, desk.ClaimState.IN_PROGRESS))
+        if found.verdict is errors.Verdict.MAY_HAVE_RUN:
+            return result.Ok(desk.Claim(number, desk.ClaimState.UNKNOWN))
+        return result.Ok(
+            desk.Claim(
+                number,
+                desk.ClaimState.RAN,
+                found.status,
+                found.content[:512],
+                found.content_type,
+                len(found.content) <= 512,
+            )
+        )
+
+    def record(self, claim: desk.Claim, outcome: desk.CallOutcome) -> bool:
+        """Keep an outcome; ``not run`` frees the key."""
+        name = self._held.pop(claim.ask)
+        with self._lock:
+            self.claims[name] = outcome
+            if outcome.verdict is errors.Verdict.NOT_RUN:
+                self.claims.pop(name)
+        return True
+
+    def may_retry(self, upstream: str, target: str) -> bool:
+        """Take one from the budget."""
+        self.budget -= 1
+        return self.budget >= 0
+
+    def failed(self, failure: desk.Failure) -> None:
+        """Keep a failure."""
+        self.failures.append(failure)
+
+    def accepting(self) -> bool:
+        """Accept requests."""
+        return True
+
+    def dump(self) -> dict[str, object]:
+        """Return the open grants."""
+        return {'open_grants': len(self.open_grants)}
