Add the pending searches of chat requests

Cause: Home and Search decide one step; several searches run at once and their answers, late answers and lost answers have to be told apart. Change: process/admitting.py keeps the searches by ask number, gives back grants that come too late and goes on without an answer after its wait. Conclusion: one place decides what a late or lost answer means.

--- /dev/null
+++ b/papayaloom/process/admitting.py
@@ -0,0 +1,370 @@
+"""Chat requests of this router that look for an engine.
+
+One :class:`Admitting` holds the searches of all models. It asks the chat's home
+for a hint when another router is the home, then one owner after the other.
+"""
+
+import typing
+
+import msgspec
+import result
+
+from papayaloom import errors, ids, messages
+from papayaloom.process import placement
+from papayaloom.request import desk
+
+_BUSY = 503
+_FALLBACK_RETRY_S = 1
+
+
+class Cfg(msgspec.Struct, frozen=True):
+    """Times of the search.
+
+    :param hint_wait_s: longest wait for the hint of the chat's home.
+    :param answer_wait_s: longest wait for the answer of an owner that does
+        not queue the request.
+    """
+
+    hint_wait_s: float = 0.05
+    answer_wait_s: float = 0.25
+
+
+class Lookup(msgspec.Struct, frozen=True):
+    """What a search needs from the parts around it.
+
+    :param home_of: home router of a chat in this region.
+    :param owner_of: router to ask for admission to an engine.
+    :param home: home side of a model, nothing for an unknown model.
+    :param usable: engines that are neither ejected nor kept apart for a
+        request that may have crashed an upstream.
+    :param url: base URL of an engine.
+    """
+
+    home_of: typing.Callable[[ids.ChatId], ids.RouterId | None]
+    owner_of: typing.Callable[[ids.EngineId], ids.RouterId | None]
+    home: typing.Callable[[ids.ModelId], placement.Home | None]
+    usable: typing.Callable[[desk.ChatAsk, ids.EngineId], bool]
+    url: typing.Callable[[ids.EngineId], str]
+
+
+class Admission(msgspec.Struct, frozen=True):
+    """An engine found for a request.
+
+    :param owner: the router that gave the grant.
+    :param previous: engine that holds the chat's cache, when it is another
+        one and moving the cache costs less than computing it again.
+    """
+
+    grant: desk.Grant
+    owner: ids.RouterId
+    model: ids.ModelId
+    chat: ids.ChatId
+    previous: ids.EngineId = ids.EngineId('')
+
+
+class Decided(msgspec.Struct, frozen=True):
+    """Outcome of a search.
+
+    :param ticket: number that :meth:`Admitting.begin` returned.
+    """
+
+    ticket: int
+    outcome: result.Result[Admission, errors.Problem]
+
+
+class Effects(msgspec.Struct):
+    """What the actor has to carry out."""
+
+    sends: list[messages.Send] = msgspec.field(default_factory=list)
+    decided: list[Decided] = msgspec.field(default_factory=list)
+
+
+class _Pending(msgspec.Struct):
+    ask: desk.ChatAsk
+    request: placement.Request
+    home: placement.Home
+    until: float
+    search: placement.Search | None = None
+    current: messages.Ask | None = None
+    reason: str = ''
+    owner: ids.RouterId = ids.RouterId('')
+    hinted: ids.EngineId = ids.EngineId('')
+
+
+class Admitting:
+    """Pending searches of one router.
+
+    :param numbers: source of ask numbers, unique for this boot.
+    """
+
+    def __init__(
+        self,
+        cfg: Cfg,
+        router: ids.RouterId,
+        lookup: Lookup,
+        numbers: typing.Iterator[int],
+    ) -> None:
+        """Start without searches."""
+        self._cfg = cfg
+        self._router = router
+        self._lookup = lookup
+        self._numbers = numbers
+        self._pending: dict[int, _Pending] = {}
+        self._by_ask: dict[int, int] = {}
+        self.late_answers = 0
+
+    def __len__(self) -> int:
+        """Return the number of pending searches."""
+        return len(self._pending)
+
+    def begin(
+        self,
+        ask: desk.ChatAsk,
+        ticket: int,
+        now: float,
+    ) -> Effects:
+        """Start the search for one try of a request.
+
+        :param ticket: number under which the outcome is reported.
+        """
+        effects = Effects()
+        home = self._lookup.home(ask.model)
+        if home is None:
+            problem = errors.Problem(
+                'unknown model',
+                404,
+                f'no live engine serves the model {ask.model!r}',
+            )
+            effects.decided.append(Decided(ticket, result.Err(problem)))
+            return effects
+        pending = _Pending(ask, _request(ask, now), home, now)
+        self._pending[ticket] = pending
+        router = self._lookup.home_of(ask.chat)
+        known = home.hint(ask.chat)
+        if known or router in {None, self._router}:
+            self._start(ticket, pending, effects, now)
+            return effects
+        number = next(self._numbers)
+        self._by_ask[number] = ticket
+        pending.until = now + self._cfg.hint_wait_s
+        effects.sends.append(
+            messages.Send(
+                typing.cast(ids.RouterId, router),
+                messages.HintRequest(number, ask.chat),
+                messages.Priority.ADMISSION,
+            ),
+        )
+        return effects
+
+    def hint(self, message: messages.Hint, now: float) -> Effects:
+        """Go on after the hint of a chat's home."""
+        effects = Effects()
+        ticket = self._by_ask.pop(message.ask, None)
+        pending = self._pending.get(ticket or 0)
+        if ticket is None or pending is None or pending.search is not None:
+            self.late_answers += 1
+            return effects
+        pending.home.handle(self._router, message, now)
+        self._start(ticket, pending, effects, now)
+        return effects
+
+    def answer(
+        self,
+        sender: ids.RouterId,
+        message: messages.Answer,
+        now: float,
+    ) -> Effects:
+        """Go on after the answer of an owner.
+
+        A grant that comes too late is given back at once.
+        """
+        effects = Effects()
+        ticket = self._by_ask.get(message.ask)
+        pending = self._pending.get(ticket or 0)
+        current = pending.current if pending else None
+        if ticket is None or pending is None or current is None:
+            self._give_back(sender, message, effects)
+            return effects
+        if current.ask != message.ask or pending.search is None:
+            self._give_back(sender, message, effects)
+            return effects
+        pending.home.saw(message, now)
+        step = pending.search.answer(message, now)
+        if step.action == placement.Next.RUN:
+            self._run(ticket, pending, message, effects)
+        elif step.action == placement.Next.WAIT:
+            wait_s = current.wait_ms / 1000 + self._cfg.answer_wait_s
+            pending.until = now + wait_s
+        else:
+            self._by_ask.pop(message.ask)
+            self._step(ticket, pending, step, effects, now)
+        return effects
+
+    def abandon(self, ticket: int, now: float) -> Effects:
+        """Stop a search whose caller has gone away."""
+        effects = Effects()
+        pending = self._pending.pop(ticket, None)
+        if pending is not None:
+            self._withdraw(pending, effects)
+        return effects
+
+    def tick(self, now: float) -> Effects:
+        """Go on without the answers that did not come in time."""
+        effects = Effects()
+        for ticket, pending in list(self._pending.items()):
+            if pending.until > now:
+                continue
+            if pending.search is None:
+                self._start(ticket, pending, effects, now)
+            else:
+                self._withdraw(pending, effects)
+                step = pending.search.lost(now)
+                self._step(ticket, pending, step, effects, now)
+        return effects
+
+    def _start(
+        self,
+        ticket: int,
+        pending: _Pending,
+        effects: Effects,
+        now: float,
+    ) -> None:
+        known = pending.home.hint(pending.ask.chat)
+        pending.hinted = known.engine if known else ids.EngineId('')
+        found = pending.home.candidates(pending.request, now)
+        usable = [
+            one
+            for one in found
+            if one.engine not in pending.ask.avoid
+            and self._lookup.usable(pending.ask, one.engine)
+        ]
+        pending.search = placement.Search(
+            pending.home.cfg,
+            pending.request,
+            usable or found,
+            self._numbers,
+        )
+        step = pending.search.start(now)
+        self._step(ticket, pending, step, effects, now)
+
+    def _step(
+        self,
+        ticket: int,
+        pending: _Pending,
+        step: placement.Step,
+        effects: Effects,
+        now: float,
+    ) -> None:
+        if step.ask is None:
+            self._refuse(ticket, step, effects)
+            return
+        owner = self._lookup.owner_of(step.ask.engine)
+        pending.owner = owner or self._router
+        pending.current = step.ask
+        pending.reason = step.reason
+        pending.until = now + self._cfg.answer_wait_s + step.ask.wait_ms / 1000
+        self._by_ask[step.ask.ask] = ticket
+        effects.sends.append(
+            messages.Send(
+                pending.owner,
+                step.ask,
+                messages.Priority.ADMISSION,
+            ),
+        )
+
+    def _run(
+        self,
+        ticket: int,
+        pending: _Pending,
+        answer: messages.Answer,
+        effects: Effects,
+    ) -> None:
+        self._pending.pop(ticket)
+        self._by_ask.pop(answer.ask)
+        target = f'models/{pending.ask.model}'
+        grant = desk.Grant(
+            answer.ask,
+            answer.engine,
+            self._lookup.url(answer.engine),
+            answer.cached_tokens,
+            f'{pending.reason}, load {answer.load} of cap {answer.cap}',
+            decided=(
+                ('placement.load_multiple', target),
+                ('placement.reuse_weight', target),
+            ),
+        )
+        admission = Admission(
+            grant,
+            pending.owner,
+            pending.ask.model,
+            pending.ask.chat,
+            _previous(pending, answer),
+        )
+        effects.decided.append(Decided(ticket, result.Ok(admission)))
+
+    def _refuse(
+        self,
+        ticket: int,
+        step: placement.Step,
+        effects: Effects,
+    ) -> None:
+        self._pending.pop(ticket)
+        problem = errors.Problem(
+            'no engine has room',
+            _BUSY,
+            'every candidate engine refused the request or did not answer',
+            setting=step.reason if '.' in step.reason else '',
+            retry_after_s=step.retry_after_s or _FALLBACK_RETRY_S,
+        )
+        effects.decided.append(Decided(ticket, result.Err(problem)))
+
+    def _withdraw(self, pending: _Pending, effects: Effects) -> None:
+        """Give back a grant that the owner may have given or still may give."""
+        current = pending.current
+        if current is None:
+            return
+        self._by_ask.pop(current.ask, None)
+        effects.sends.append(_release(pending.owner, current))
+
+    def _give_back(
+        self,
+        sender: ids.RouterId,
+        answer: messages.Answer,
+        effects: Effects,
+    ) -> None:
+        self.late_answers += 1
+        if answer.state == messages.GrantState.GRANTED:
+            effects.sends.append(_release(sender, answer))
+
+
+def _release(
+    owner: ids.RouterId,
+    asked: messages.Ask | messages.Answer,
+) -> messages.Send:
+    return messages.Send(
+        owner,
+        messages.Release(asked.ask, asked.engine, finished=False),
+        messages.Priority.ADMISSION,
+    )
+
+
+def _previous(pending: _Pending, answer: messages.Answer) -> ids.EngineId:
+    known = pending.home.hint(pending.ask.chat)
+    nowhere = ids.EngineId('')
+    if known is None or known.engine == answer.engine:
+        return nowhere
+    missing = known.tokens - answer.cached_tokens
+    moves = pending.home.move(missing) == placement.Move.TRANSFER
+    return known.engine if missing > 0 and moves else nowhere
+
+
+def _request(ask: desk.ChatAsk, now: float) -> placement.Request:
+    return placement.Request(
+        ask.request,
+        ask.organisation,
+        ask.chat,
+        ask.priority,
+        now + ask.deadline_s,
+        ask.prompt_tokens,
+        ask.prefixes,
+    )
