--- /dev/null
+++ b/papayaloom/commands/standin.py
@@ -0,0 +1,203 @@
+"""Runs a stand-in of an outside system over HTTP.
+
+Each stand-in has the resource ``/faults``: GET shows its fault switches, PUT
+of a JSON object changes them. A command prints its addresses, one a line, and
+runs until it is ended.
+"""
+
+import functools
+import importlib
+import sys
+import threading
+import typing
+
+import cheroot.wsgi
+import fire
+import msgspec
+
+from papayaloom import clock, ids
+from papayaloom.ports import hosts
+from papayaloom.standins import batch, engine, engine_server, service
+from papayaloom.standins import faults as fault_switches
+from papayaloom.standins import hosts as host_list
+from papayaloom.standins import weights as weight_store
+
+
+def _fail(sentence: str) -> typing.NoReturn:
+    sys.stderr.write(f'papayaloom-standin: {sentence}\n')
+    sys.exit(1)
+
+
+def _bind(
+    start: typing.Callable[[], cheroot.wsgi.Server],
+) -> cheroot.wsgi.Server:
+    try:
+        return start()
+    except (OSError, ValueError) as exc:
+        _fail(f'cannot listen: {exc}')
+
+
+def _switch(switches: fault_switches.Faults, chosen: str) -> None:
+    for pair in filter(None, chosen.split(',')):
+        name, _, number = pair.partition('=')
+        try:
+            switches.change(**{name: msgspec.json.decode(number or 'true')})
+        except (ValueError, msgspec.MsgspecError) as exc:
+            _fail(f'{pair!r} is not a fault: {exc}')
+
+
+def _serve(*bound: cheroot.wsgi.Server) -> None:
+    for http_server in bound:
+        host, port = http_server.bind_addr[:2]
+        sys.stdout.write(f'http://{host}:{port}\n')
+    sys.stdout.flush()
+    for other in bound[1:]:
+        threading.Thread(target=other.serve, daemon=True).start()
+    try:
+        bound[0].serve()
+    except KeyboardInterrupt:
+        bound[0].stop()
+
+
+def run_engine(
+    address: str = '127.0.0.1:0',
+    name: str = 'engine-1',
+    model: str = 'model',
+    faults: str = '',
+    threads: int = 64,
+    **properties: object,
+) -> None:
+    """Run a model engine.
+
+    :param faults: switches such as ``delay_s=0.5,drop_after=1``.
+    :param threads: one for each stream at the same time, and a few more.
+    :param properties: fields of ``papayaloom.standins.engine.Cfg`` and
+        ``papayaloom.standins.batch.Cfg``, such as ``--token_s=0.03``.
+    """
+    known = set(batch.Cfg.__struct_fields__)
+    speed = {key: properties.pop(key) for key in known & set(properties)}
+    fields = {**properties, 'model': str(model), 'speed': speed}
+    fields['name'] = str(name)
+    unknown = set(fields) - set(engine.Cfg.__struct_fields__)
+    if unknown:
+        _fail('engines have no property {0}'.format(', '.join(sorted(unknown))))
+    try:
+        cfg = msgspec.convert(fields, engine.Cfg, strict=False)
+    except msgspec.ValidationError as exc:
+        _fail(f'a property is wrong: {exc}')
+    try:
+        bound, served = engine_server.server(cfg, address, threads)
+    except (OSError, ValueError) as unbound:
+        _fail(f'cannot listen: {unbound}')
+    _switch(served.faults, faults)
+    _serve(bound)
+
+
+def run_service(
+    addresses: str = '127.0.0.1:0',
+    name: str = 'order-desk',
+    faults: str = '',
+    *,
+    checks_keys: bool = False,
+) -> None:
+    """Run the replicas of a service, which share one log of effects.
+
+    :param addresses: one for each replica, separated by commas.
+    :param checks_keys: carry out an idempotency key at most once.
+    """
+    log = service.EffectLog()
+    bound = []
+    for number, address in enumerate(addresses.split(','), start=1):
+        replica = service.Replica(
+            f'{name}-{number}',
+            ids.ServiceId(name),
+            log,
+            checks_keys=checks_keys,
+        )
+        _switch(replica.faults, faults)
+        bound.append(_bind(functools.partial(service.server, replica, address)))
+    _serve(*bound)
+
+
+def run_weights(
+    address: str = '127.0.0.1:0',
+    name: str = 'weights',
+    faults: str = '',
+    *,
+    bytes_per_s: float = 1_000_000_000,
+    size: int = 1_000_000_000,
+) -> None:
+    """Run a weight store.
+
+    :param bytes_per_s: rate for all engines together.
+    :param size: bytes of every version.
+    """
+    store = weight_store.WeightStore(
+        clock.SystemClock(), None, bytes_per_s, size
+    )
+    _switch(store.faults, faults)
+    _serve(_bind(lambda: weight_store.server(store, address)))
+
+
+def run_hosts(
+    address: str = '127.0.0.1:0',
+    name: str = 'hosts',
+    faults: str = '',
+    *,
+    lag_s: float = 2,
+    file: str = '',
+) -> None:
+    """Run a host list; ``PUT`` and ``DELETE /v1/hosts/<host>`` change it.
+
+    :param lag_s: age of the list that readers get.
+    :param file: JSON file with the first list of hosts.
+    """
+    directory = host_list.HostDirectory(clock.SystemClock(), lag_s)
+    if file:
+        try:
+            with open(file, 'rb') as listing:
+                first = msgspec.json.decode(
+                    listing.read(), type=tuple[hosts.Host, ...]
+                )
+        except (OSError, msgspec.MsgspecError) as exc:
+            _fail(f'cannot read the hosts from {file!r}: {exc}')
+        for host in first:
+            directory.put(host)
+    _switch(directory.faults, faults)
+    _serve(_bind(lambda: host_list.server(directory, address)))
+
+
+def run_kv(
+    address: str = '127.0.0.1:0',
+    name: str = 'kv',
+    faults: str = '',
+) -> None:
+    """Run a key-value service."""
+    try:
+        store = importlib.import_module('papayaloom.standins.kv')
+    except ImportError:
+        _fail('the key-value stand-in is not installed')
+    try:
+        bound, switches = store.server(address)
+    except (OSError, ValueError) as exc:
+        _fail(f'cannot listen: {exc}')
+    _switch(switches, faults)
+    _serve(bound)
+
+
+def main() -> None:
+    """Run the console script."""
+    fire.Fire(
+        {
+            'engine': run_engine,
+            'service': run_service,
+            'weights': run_weights,
+            'hosts': run_hosts,
+            'kv': run_kv,
+        },
+        name='papayaloom-standin',
+    )
+
+
+if __name__ == '__main__':
+    main()
