Add the control transport and membership

Promises travel in Ack only and are counted from the probe's send time, so that they end at their holder before they end at their giver. Messages gain Gossip, ViewDigest, ViewPart, SettingsFetch and FleetView, and Member gains `by`.

No tests of its own yet.

--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -43,8 +43,13 @@
 class Member(msgspec.Struct, frozen=True, array_like=True):
     """One router of the fleet.
 
+    An update that only changes the state of a member leaves out address,
+    http, zone and region.
+
     :param address: pynng URL of the control inbox.
     :param http: base URL towards callers.
+    :param by: who suspects the member; the member itself when it says that
+        it has stopped.
     """
 
     router: ids.RouterId
@@ -54,6 +59,7 @@
     region: ids.RegionId
     incarnation: int = 0
     state: MemberState = MemberState.ALIVE
+    by: ids.RouterId = ids.RouterId('')
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -89,8 +95,8 @@
 
     :param target: the probed member; an indirect probe travels through another.
     :param origin: who wants the answer.
-    :param promise_s: seconds for which the sender will not admit to
-        engines where the receiver ranks before it.
+    :param promise_s: always 0; a promise travels in the answer only, because
+        its receiver can date it no earlier than its own probe.
     """
 
     nonce: int
@@ -102,7 +108,12 @@
 
 
 class Ack(Message, frozen=True, array_like=True):
-    """Answer to a probe."""
+    """Answer to a probe.
+
+    :param promise_s: seconds, from the moment when the origin sent the probe,
+        for which the target will not admit to engines where the origin ranks
+        before it.
+    """
 
     nonce: int
     origin: ids.RouterId
@@ -121,6 +132,37 @@
     updates: tuple[Member, ...]
 
 
+class Gossip(Message, frozen=True, array_like=True):
+    """News about members that should not wait for the next probe."""
+
+    updates: tuple[Member, ...]
+    settings: Digest
+
+
+class ViewDigest(Message, frozen=True, array_like=True):
+    """Compares the membership views of two routers.
+
+    :param buckets: 32-bit hashes of the view, one for each bucket of names.
+    """
+
+    buckets: tuple[int, ...]
+
+
+class ViewPart(Message, frozen=True, array_like=True):
+    """Members of some buckets that differ.
+
+    :param members: what the sender knows of these buckets, the dead included.
+    :param buckets: the buckets that ``members`` covers completely.
+    :param differ: how many buckets differed in the comparison.
+    :param reply: the receiver should answer with its own members.
+    """
+
+    members: tuple[Member, ...]
+    buckets: tuple[int, ...]
+    differ: int
+    reply: bool
+
+
 class Leave(Message, frozen=True, array_like=True):
     """The sender is stopping; it still finishes its requests."""
 
@@ -145,6 +187,20 @@
     changes: tuple[bytes, ...]
 
 
+class SettingsFetch(Message, frozen=True, array_like=True):
+    """Asks for chunks of the full state that the receiver has.
+
+    :param first: index of the first chunk wanted.
+    :param step: distance between the wanted chunks, for several senders.
+    :param only: the wanted chunks, instead of ``first`` and ``step``.
+    """
+
+    version: ids.SettingsVersion
+    first: int
+    step: int
+    only: tuple[int, ...] = ()
+
+
 class SettingsChunk(Message, frozen=True, array_like=True):
     """Part of a compressed full state."""
 
@@ -317,13 +373,35 @@
     sequence: int
 
 
+class FleetView(Message, frozen=True, array_like=True):
+    """The membership view that a router publishes to the locator on its host.
+
+    :param members: all members that may serve callers, leaving ones included.
+    :param sequence: grows with every view of one boot of the router.
+    :param ttl_s: how long callers may keep an address answer.
+    :param count: how many addresses an answer holds.
+    """
+
+    deployment: str
+    router: ids.RouterId
+    boot: int
+    sequence: int
+    members: tuple[Member, ...]
+    ttl_s: float
+    count: int
+
+
 Control = (
     Ping
     | Ack
     | PingRequest
+    | Gossip
+    | ViewDigest
+    | ViewPart
     | Leave
     | LoadReport
     | SettingsRequest
+    | SettingsFetch
     | SettingsDelta
     | SettingsChunk
     | Ask
--- /dev/null
+++ b/papayaloom/process/members.py
@@ -0,0 +1,190 @@
+"""Table of the fleet's members and the rule by which updates replace it."""
+
+import typing
+
+import msgspec
+import xxhash
+
+from papayaloom import ids, messages
+
+BUCKETS = 32
+_State = messages.MemberState
+_BY_STRENGTH = (_State.ALIVE, _State.LEAVING, _State.SUSPECT, _State.DEAD)
+
+
+class Entry(msgspec.Struct):
+    """What is known of one member.
+
+    :param since: when the member got its state.
+    :param heard: when a message of the member itself came last; -1 never.
+    :param known: some router has heard of it; false for a host that only
+        the host list names.
+    :param leaving: it announced a stop in this or a later incarnation.
+    :param gone: it is confirmed gone; it said so itself, or it has been dead
+        for long or is off the host list.
+    :param confirmers: routers that suspect it.
+    """
+
+    member: messages.Member
+    since: float
+    heard: float = -1
+    known: bool = True
+    leaving: bool = False
+    gone: bool = False
+    confirmers: tuple[ids.RouterId, ...] = ()
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the member counts as alive, suspects included."""
+        return self.known and self.member.state is not _State.DEAD
+
+
+class Table:
+    """All members by name, dead ones included until they are forgotten."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.entries: dict[ids.RouterId, Entry] = {}
+        # Grows with every change, so that readers can keep derived orders.
+        self.revision = 0
+
+    def get(self, router: ids.RouterId) -> Entry | None:
+        """Return the entry of a member, or nothing."""
+        return self.entries.get(router)
+
+    def alive(self) -> list[Entry]:
+        """Return the members that count as alive."""
+        return [entry for entry in self.entries.values() if entry.is_alive]
+
+    def seed(self, member: messages.Member, now: float) -> None:
+        """Add a host of the host list that no router has heard of."""
+        if member.router not in self.entries:
+            seeded = msgspec.structs.replace(
+                member, incarnation=0, state=_State.ALIVE
+            )
+            self.entries[member.router] = Entry(seeded, now, known=False)
+
+    def merge(self, update: messages.Member, now: float) -> bool:
+        """Take an update when it is newer than what is known.
+
+        A higher incarnation wins. Within one incarnation a state replaces
+        only a weaker one: alive, leaving, suspect, dead.
+
+        :returns: whether the update is news and should be passed on.
+        """
+        entry = self.entries.get(update.router)
+        if entry is None:
+            return self._add(update, now)
+        if not entry.known and update.address:
+            self.entries.pop(update.router)
+            return self._add(update, now)
+        if _is_newer(update, entry.member):
+            _apply(entry, update, now)
+            self.revision += 1
+            return True
+        return _add_confirmer(entry, update)
+
+    def confirm_gone(self, entry: Entry) -> None:
+        """Take the rank from a dead member."""
+        if not entry.gone:
+            entry.gone = True
+            self.revision += 1
+
+    def remove(self, router: ids.RouterId) -> None:
+        """Forget a member."""
+        self.entries.pop(router, None)
+        self.revision += 1
+
+    def digest(self) -> tuple[int, ...]:
+        """Return one hash for each bucket of names.
+
+        Suspicions and the dead are left out: the first are short-lived, and
+        the second are forgotten at different times.
+        """
+        buckets = [0 for _ in range(BUCKETS)]
+        for router, entry in self.entries.items():
+            if entry.is_alive:
+                text = f'{router} {entry.member.incarnation} {entry.leaving}'
+                buckets[bucket(router)] ^= xxhash.xxh32_intdigest(text.encode())
+        return tuple(buckets)
+
+    def in_buckets(
+        self, buckets: typing.Collection[int]
+    ) -> tuple[messages.Member, ...]:
+        """Return the known members of some buckets, the dead included."""
+        return tuple(
+            entry.member
+            for router, entry in self.entries.items()
+            if entry.known and bucket(router) in buckets
+        )
+
+    def _add(self, update: messages.Member, now: float) -> bool:
+        # An update without addresses is of no use for an unknown member; its
+        # full entry follows with the comparison of views.
+        if not update.address:
+            return False
+        entry = Entry(update, now)
+        _apply(entry, update, now)
+        self.entries[update.router] = entry
+        self.revision += 1
+        return True
+
+
+def bucket(router: ids.RouterId) -> int:
+    """Return the bucket of a name in the comparison of views."""
+    return xxhash.xxh32_intdigest(router.encode()) % BUCKETS
+
+
+def brief(member: messages.Member) -> messages.Member:
+    """Leave out the fields that every router knows already."""
+    return messages.Member(
+        router=member.router,
+        address='',
+        http='',
+        zone=ids.ZoneId(''),
+        region=ids.RegionId(''),
+        incarnation=member.incarnation,
+        state=member.state,
+        by=member.by,
+    )
+
+
+def _is_newer(update: messages.Member, known: messages.Member) -> bool:
+    if update.incarnation != known.incarnation:
+        return update.incarnation > known.incarnation
+    return _BY_STRENGTH.index(update.state) > _BY_STRENGTH.index(known.state)
+
+
+def _apply(entry: Entry, update: messages.Member, now: float) -> None:
+    if not update.address:
+        update = msgspec.structs.replace(
+            entry.member,
+            incarnation=update.incarnation,
+            state=update.state,
+            by=update.by,
+        )
+    if update.state is _State.LEAVING:
+        entry.leaving = True
+    elif update.state is _State.ALIVE:
+        entry.leaving = False
+    entry.gone = update.state is _State.DEAD and update.by == update.router
+    entry.confirmers = (
+        (update.by,) if update.state is _State.SUSPECT and update.by else ()
+    )
+    entry.member = update
+    entry.since = now
+
+
+def _add_confirmer(entry: Entry, update: messages.Member) -> bool:
+    same = (
+        update.state is _State.SUSPECT
+        and entry.member.state is _State.SUSPECT
+        and update.incarnation == entry.member.incarnation
+    )
+    # Three more than the number that shortens the wait is enough to know.
+    if not same or update.by in entry.confirmers or not update.by:
+        return False
+    if len(entry.confirmers) >= 4:
+        return False
+    entry.confirmers += (update.by,)
+    return True
