Leave promises to the admission part

A second promise for each pair of routers would be carried for nobody: at 360 members a pair meets by random probes once in 180 s only, so it would need probes of its own.

Conclusion: there is one kind of promise, and it is the admission part's.

--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -95,8 +95,6 @@
 
     :param target: the probed member; an indirect probe travels through another.
     :param origin: who wants the answer.
-    :param promise_s: always 0; a promise travels in the answer only, because
-        its receiver can date it no earlier than its own probe.
     """
 
     nonce: int
@@ -104,23 +102,16 @@
     target: ids.RouterId
     updates: tuple[Member, ...]
     settings: Digest
-    promise_s: float = 0
 
 
 class Ack(Message, frozen=True, array_like=True):
-    """Answer to a probe.
-
-    :param promise_s: seconds, from the moment when the origin sent the probe,
-        for which the target will not admit to engines where the origin ranks
-        before it.
-    """
+    """Answer to a probe."""
 
     nonce: int
     origin: ids.RouterId
     target: ids.RouterId
     updates: tuple[Member, ...]
     settings: Digest
-    promise_s: float = 0
 
 
 class PingRequest(Message, frozen=True, array_like=True):
--- a/papayaloom/process/detection.py
+++ b/papayaloom/process/detection.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from papayaloom import ids, messages
-from papayaloom.process import members, probing, promises, suspicion
+from papayaloom.process import members, probing, suspicion
 from papayaloom.process import view as view_module
 
 _State = messages.MemberState
@@ -19,8 +19,6 @@
 # Dead members that the host list still names are probed this seldom, so that
 # two halves of the fleet find each other after a network partition.
 _REVIVE_PERIODS = 3
-# A promise is renewed this often within its length.
-_RENEWALS = 3
 
 
 class Cfg(msgspec.Struct, frozen=True):
@@ -37,7 +35,6 @@
     :param repeat_factor: repeats of an update, times log10(members + 1).
     :param updates: most updates in one message.
     :param sync_s: time between two comparisons of the whole view.
-    :param promise_s: length of a promise.
     :param forget_s: a dead member is forgotten after this time.
     """
 
@@ -51,7 +48,6 @@
     repeat_factor: float = 4.0
     updates: int = 8
     sync_s: float = 10.0
-    promise_s: float = 6.0
     forget_s: float = 3600.0
 
 
@@ -60,7 +56,6 @@
 
     tick: float = 0
     probe: float = 0
-    partners: float = 0
     gossip: float = 0
     suspects: float = 0
     probed: int = 0
@@ -70,7 +65,6 @@
     """Probes the members of a view and judges them.
 
     :param head: returns the version and digest of this router's settings.
-    :param promise: returns the length of a promise to a member in seconds.
     """
 
     def __init__(
@@ -79,15 +73,12 @@
         view: view_module.View,
         rng: random.Random,
         head: typing.Callable[[], messages.Digest],
-        promise: typing.Callable[[ids.RouterId], float],
     ) -> None:
         """Start without probes."""
-        self.promises = promises.Promises()
         self._view = view
         self._cfg = cfg
         self._rng = rng
         self._head = head
-        self._promise = promise
         self._probes = probing.Probes(rng)
         self._next = _Next()
 
@@ -121,29 +112,22 @@
             jitter = self._rng.uniform(0.9, 1.1)
             self._next.probe = now + self._cfg.period_s * jitter
             sends += self._regular(now)
-        if now >= self._next.partners:
-            self._next.partners = now + self._cfg.promise_s / _RENEWALS
-            sends += self._ask_partners(now)
         return sends
 
     def answer(
         self, sender: ids.RouterId, ping: messages.Ping, now: float
     ) -> _Sends:
-        """Answer a probe, with a promise to its origin."""
+        """Answer a probe."""
         sends = self.take(ping.updates, sender, now)
         me = self._view.me.router
         if ping.target != me:
             return sends
-        promise_s = self._promise(ping.origin)
-        if promise_s > 0:
-            self.promises.give(ping.origin, promise_s, now)
         ack = messages.Ack(
             ping.nonce,
             ping.origin,
             me,
             self._view.news.pick(sender, self._cfg.updates),
             self._head(),
-            promise_s,
         )
         return [*sends, _send(sender, ack)]
 
@@ -154,9 +138,7 @@
         sends = self.take(ack.updates, sender, now)
         if ack.origin != self._view.me.router:
             return [*sends, _send(ack.origin, ack)]
-        probe = self._probes.answered(ack.nonce, ack.target)
-        if probe is not None and ack.promise_s > 0:
-            self.promises.hold(ack.target, ack.promise_s, probe.sent)
+        self._probes.answered(ack.nonce, ack.target)
         return sends
 
     def relay(
@@ -183,14 +165,6 @@
                 sends += self._ping(self._rng.choice(dead), now, accuses=False)
         return sends
 
-    def _ask_partners(self, now: float) -> _Sends:
-        self.promises.expire(now)
-        return [
-            send
-            for partner in sorted(self.promises.partners)
-            for send in self._ping(partner, now, accuses=True)
-        ]
-
     def _ping(
         self, target: ids.RouterId, now: float, *, accuses: bool
     ) -> _Sends:
--- a/papayaloom/process/membership.py
+++ b/papayaloom/process/membership.py
@@ -65,9 +65,6 @@
         as the seconds since 1970.
     :param head: returns the version and digest of this router's settings,
         which travel with the probes.
-    :param promise: returns how long, in seconds, this router promises a
-        member not to admit to engines where that member ranks before it;
-        ``promise_s`` of the settings when left out.
     """
 
     def __init__(
@@ -76,15 +73,11 @@
         me: messages.Member,
         rng: random.Random,
         head: typing.Callable[[], messages.Digest],
-        promise: typing.Callable[[ids.RouterId], float] | None = None,
     ) -> None:
         """Start with a view of this router alone."""
         self._cfg = cfg
         self._view = view.View(me, cfg.repeat_factor, rng)
-        self._detector = detection.Detector(
-            cfg, self._view, rng, head, promise or (lambda _: cfg.promise_s)
-        )
-        self.promises = self._detector.promises
+        self._detector = detection.Detector(cfg, self._view, rng, head)
         self.table = self._view.table
         self._compare = comparison.Comparison(self.table, rng)
         self._ranked: dict[str, list[ids.RouterId]] = {}
