--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -168,29 +168,30 @@
 
 
 class SettingsRequest(Message, frozen=True, array_like=True):
-    """Asks for the settings changes after a version."""
+    """Asks for the settings changes after a version.
+
+    :param have: head of the sender; without a digest it asks for the full
+        state.
+    """
 
     have: Digest
 
 
 class SettingsDelta(Message, frozen=True, array_like=True):
-    """Consecutive settings changes, oldest first, as encoded records."""
+    """Consecutive settings changes, oldest first, as encoded records.
+
+    Without changes it says that the receiver is as new as the sender.
+    """
 
     changes: tuple[bytes, ...]
 
 
 class SettingsFetch(Message, frozen=True, array_like=True):
-    """Asks for chunks of the full state that the receiver has.
-
-    :param first: index of the first chunk wanted.
-    :param step: distance between the wanted chunks, for several senders.
-    :param only: the wanted chunks, instead of ``first`` and ``step``.
-    """
+    """Asks for some chunks of a full state."""
 
     version: ids.SettingsVersion
-    first: int
-    step: int
-    only: tuple[int, ...] = ()
+    digest: str
+    chunks: tuple[int, ...]
 
 
 class SettingsChunk(Message, frozen=True, array_like=True):
