--- a/papayaloom/hashing.py
+++ b/papayaloom/hashing.py
@@ -1,7 +1,6 @@
 """Placement hashes: rendezvous order for hosts and a ring for engines."""
 
 import bisect
-import itertools
 import typing
 
 import xxhash
@@ -63,13 +62,11 @@
         start = bisect.bisect(
             self._hashes, xxhash.xxh3_64_intdigest(key.encode())
         )
-        around = itertools.chain(
-            itertools.islice(self._owners, start, None),
-            itertools.islice(self._owners, 0, start),
-        )
         found: dict[_Member, None] = {}
-        for member in around:
-            found[member] = None
+        # Indexed from the start point: skipping to it would cost its position.
+        size = len(self._owners)
+        for step in range(size):
+            found[self._owners[(start + step) % size]] = None
             if len(found) == count:
                 break
         return list(found)
--- a/papayaloom/process/admission.py
+++ b/papayaloom/process/admission.py
@@ -214,7 +214,12 @@
 
     def running(self) -> int:
         """Return own grants on live engines."""
-        return sum(self.holds.count(engine) for engine in self.engines.live)
+        live = self.engines.live
+        return sum(
+            self.holds.count(engine)
+            for engine in self.holds.engines()
+            if engine in live
+        )
 
     def room(self, engine: ids.EngineId, now: float) -> Room:
         """Tell whether an engine has room for one more request."""
--- a/papayaloom/process/engines.py
+++ b/papayaloom/process/engines.py
@@ -31,6 +31,7 @@
         self._since: dict[ids.EngineId, float] = {}
         self._lost: dict[ids.EngineId, float] = {}
         self._leaving: frozenset[ids.EngineId] = frozenset()
+        self._live: frozenset[ids.EngineId] = frozenset()
         self._known = False
 
     def configure(self, cfg: Cfg) -> None:
@@ -38,9 +39,9 @@
         self._cfg = cfg
 
     @property
-    def live(self) -> typing.KeysView[ids.EngineId]:
+    def live(self) -> frozenset[ids.EngineId]:
         """Engines that count in the mean: live and not leaving."""
-        return self._since.keys()
+        return self._live
 
     def update(
         self,
@@ -64,6 +65,7 @@
             self._since.pop(left)
             self._lost[left] = now
         self._known = self._known or bool(serving)
+        self._live = frozenset(serving)
         return sorted(before - serving - self._leaving)
 
     def forgettable(self, now: float) -> list[ids.EngineId]:
--- a/papayaloom/process/loads.py
+++ b/papayaloom/process/loads.py
@@ -12,6 +12,10 @@
 _RATE_EXPOSURE = 1000
 
 
+# Seconds for which an estimate is kept; each counts as old as it may get.
+_KEPT_S = 0.05
+
+
 class Cfg(msgspec.Struct, frozen=True):
     """How reports of other routers are trusted.
 
@@ -69,6 +73,8 @@
         self._offsets: dict[ids.RouterId, float] = {}
         self.finish_rate = cfg.finish_rate
         self._observed: tuple[float, int] | None = None
+        self._estimate = Estimate(0, 0)
+        self._estimated = float('-inf')
 
     def configure(self, cfg: Cfg) -> None:
         """Take new limits."""
@@ -133,6 +139,12 @@
         Completions since a report are independent of each other, so their
         variances add up over the routers, not their deviations.
         """
+        if not 0 <= now - self._estimated < _KEPT_S:
+            self._estimated = now
+            self._estimate = self._sum(now + _KEPT_S)
+        return self._estimate
+
+    def _sum(self, now: float) -> Estimate:
         known = 0
         trusted: float = 0
         finished: float = 0
--- a/papayaloom/process/ranks.py
+++ b/papayaloom/process/ranks.py
@@ -27,6 +27,8 @@
 class Ranks:
     """Ranks members for engines and knows whether a majority is present.
 
+    ``version`` grows with each change of the ranked members.
+
     :param router: own identity.
     """
 
@@ -38,7 +40,8 @@
         self._left: set[ids.RouterId] = set()
         self._ranked: frozenset[ids.RouterId] = frozenset((router,))
         self._quorate = True
-        self._orders: dict[str, tuple[ids.RouterId, ...]] = {}
+        self._orders: dict[ids.EngineId, tuple[ids.RouterId, ...]] = {}
+        self.version = 0
 
     def configure(self, cfg: Cfg) -> None:
         """Take new limits."""
@@ -120,9 +123,20 @@
         return member.router in self._left
 
     def _set_ranked(self, ranked: frozenset[ids.RouterId]) -> None:
-        if ranked != self._ranked:
-            self._ranked = ranked
-            self._orders.clear()
+        """Take the ranked members and mend only the orders that change."""
+        if ranked == self._ranked:
+            return
+        joined = ranked - self._ranked
+        gone = self._ranked - ranked
+        self._ranked = ranked
+        self.version += 1
+        for engine, order in list(self._orders.items()):
+            if not gone.isdisjoint(order):
+                self._orders.pop(engine)
+            elif joined:
+                self._orders[engine] = tuple(
+                    hashing.rank(engine, joined.union(order), 2),
+                )
 
 
 def _majority(
--- a/papayaloom/process/rights.py
+++ b/papayaloom/process/rights.py
@@ -1,7 +1,5 @@
 """Which part of an engine's cap a router may use, by rank and promise."""
 
-import typing
-
 import msgspec
 
 from papayaloom import ids, messages
@@ -68,6 +66,11 @@
         self._reports: dict[ids.EngineId, tuple[int, float]] = {}
         self._handed: dict[ids.EngineId, int] = {}
         self._renewed = float('-inf')
+        self._served: list[ids.EngineId] = []
+        self._served_for: tuple[int, frozenset[ids.EngineId]] = (
+            -1,
+            frozenset(),
+        )
 
     def configure(self, cfg: Cfg) -> None:
         """Take new times."""
@@ -120,24 +123,42 @@
 
     def tick(
         self,
-        engines: typing.Iterable[ids.EngineId],
+        engines: frozenset[ids.EngineId],
         renew_s: float,
         now: float,
     ) -> list[messages.Send]:
         """Renew the promises for the engines that this router serves."""
+        if now - self._renewed < renew_s:
+            return []
+        self._renewed = now
+        self._choose(engines)
         wanted: dict[ids.RouterId, list[ids.EngineId]] = {}
-        for engine in engines:
+        for engine in self._served:
             second = self._second_to_ask(engine, now)
             if second is not None:
                 wanted.setdefault(second, []).append(engine)
-        if now - self._renewed < renew_s:
-            return []
-        self._renewed = now
         return [
             self._promises.request(second, asked, now)
             for second, asked in wanted.items()
         ]
 
+    def _choose(self, engines: frozenset[ids.EngineId]) -> None:
+        """Choose the engines that this router serves, or served as a first.
+
+        The choice costs a look at every engine, so it is made only when the
+        members or the engines have changed.
+        """
+        chosen_for = (self._ranks.version, engines)
+        if chosen_for == self._served_for:
+            return
+        self._served_for = chosen_for
+        self._served = [
+            engine
+            for engine in sorted(engines)
+            if self._ranks.order(engine)[0] == self._router
+            or self._promises.newest(engine)
+        ]
+
     def _second_to_ask(
         self,
         engine: ids.EngineId,
@@ -169,16 +190,21 @@
         since = self._first_since.setdefault(engine, now)
         if not self._settled(engine, since, now):
             return _SETTLING
+        # Until the homes have renewed their holds here, the running requests
+        # of a router that handed over are known by its last counts only.
+        young = now - since < self._cfg.settle_s
+        handed = self._handed.get(engine, 0) if young else 0
         if len(order) == 1:
-            return Right(cap)
+            return Right(cap, handed)
         held = self._promises.held(engine, order[1])
         if held is None:
             return _NOTHING
         if held.until > now:
-            return Right(cap, held.foreign)
+            return Right(cap, held.foreign + handed)
         if held.until + self._cfg.confirm_s <= now:
             return _NOTHING
-        return Right(cap - max(held.foreign, cap // 2), 0, PROMISE)
+        reserved = max(held.foreign, cap // 2)
+        return Right(cap - reserved, handed, PROMISE)
 
     def _former(self, engine: ids.EngineId, cap: int, now: float) -> Right:
         """Return the right of a first that a newer router has not asked yet."""
