--- a/papayaloom/process/admission.py
+++ b/papayaloom/process/admission.py
@@ -23,12 +23,14 @@
     """Limits of an owner for one model.
 
     :param load_multiple: highest load of an engine over the mean load.
+    :param most_running: highest load of an engine, whatever the mean.
     :param hold_s: seconds for which a grant lives without a renewal.
     :param refuse_factor: a request is refused at once when its estimated wait
         is longer than this many times the time that it can wait.
     """
 
     load_multiple: float = 1.15
+    most_running: int = 64
     hold_s: float = 10
     refuse_factor: float = 2
     rank: ranks.Cfg = ranks.Cfg()
@@ -229,7 +231,7 @@
             total = self.running() + self.loads.estimate(now).lower
             live = len(self.engines.live)
             full = cap(self._cfg.load_multiple, total, live)
-            ceiling = max(1, int(full * share))
+            ceiling = max(1, int(min(full, self._cfg.most_running) * share))
         right = self.rights.right(engine, ceiling, now)
         own = self.holds.count(engine)
         load = own + max(right.foreign, self.holds.extra(engine))
--- a/papayaloom/process/running.py
+++ b/papayaloom/process/running.py
@@ -33,6 +33,10 @@
         """Return how many grants are in use."""
         return len(self._used)
 
+    def uses(self, ask: int) -> bool:
+        """Tell whether a grant is in use."""
+        return ask in self._used
+
     def add(
         self,
         ask: int,
--- a/papayaloom/version/declarations/placement.py
+++ b/papayaloom/version/declarations/placement.py
@@ -13,6 +13,16 @@
         axis=setting.Axis.MODEL,
         doc='Highest load of an engine as a multiple of the mean load.',
     ),
+    setting.Setting(
+        path='placement.most_running',
+        kind=setting.Kind.INTEGER,
+        unit=setting.Unit.COUNT,
+        default=64,
+        low=1,
+        high=100_000,
+        axis=setting.Axis.MODEL,
+        doc='Highest load of an engine, whatever the mean load is.',
+    ),
     setting.Setting(
         path='placement.reuse_weight',
         kind=setting.Kind.NUMBER,
