--- a/features/steps/kv_steps.py
+++ b/features/steps/kv_steps.py
@@ -3,6 +3,7 @@
 
 import behave
 import msgspec
+import urllib3
 
 from papayaloom import clock, errors
 from papayaloom.ports import kv
@@ -15,7 +16,7 @@
     context.twin = twin.MemoryKv(context.clock, sleep=context.clock.advance)
     context.kv = context.twin
     if place == 'HTTP':
-        server = twin.server(store=context.twin)
+        server, _ = twin.server(store=context.twin)
         threading.Thread(target=server.serve, daemon=True).start()
         host, port = server.bind_addr[:2]
         context.kv = kv.HttpKv(f'http://{host}:{port}')
@@ -25,7 +26,12 @@
 
 @behave.step('the fault {fault}')
 def a_fault(context, fault):
-    context.twin.faults = msgspec.json.decode(fault, type=twin.Faults)
+    if context.kv is context.twin:
+        context.twin.faults.change(**json.loads(fault))
+        return
+    url = f'{context.kv._url}/faults'
+    assert urllib3.request('PUT', url, body=fault.encode()).status == 200
+    assert urllib3.request('PUT', url, body=b'{"none": 1}').status == 400
 
 
 @behave.when('"{key}" is written as "{text}" expecting absent')
--- a/papayaloom/standins/kv.py
+++ b/papayaloom/standins/kv.py
@@ -1,9 +1,10 @@
 """In-memory twin of the key-value service, with fault switches.
 
 :class:`MemoryKv` has the interface of :class:`papayaloom.ports.kv.Kv`.
-:func:`serve` puts the HTTP protocol of that module around it, with two
-endpoints more: ``GET /faults`` and ``PUT /faults`` read and replace the
-:class:`Faults`, and ``GET /counts`` reads the :class:`Counts`.
+:func:`server` puts the HTTP protocol of that module around it, with two
+resources more: ``GET /faults`` shows the :class:`Faults`, ``PUT /faults`` of
+a JSON object changes those that it names, and ``GET /counts`` shows the
+:class:`Counts`.
 """
 
 import bisect
@@ -57,6 +58,20 @@
     reads_per_s: float = 0
     only: str = ''
 
+    def change(self, **switches: object) -> None:
+        """Set switches by name.
+
+        :raises ValueError: a switch does not exist or its value is wrong.
+        """
+        fields = {**msgspec.to_builtins(self), **switches}
+        unknown = set(fields) - set(self.__struct_fields__)
+        if unknown:
+            raise ValueError('no fault switch {0}'.format(', '.join(unknown)))
+        # Strict about types, and all switches change or none.
+        checked = msgspec.convert(fields, Faults)
+        for name in self.__struct_fields__:
+            setattr(self, name, getattr(checked, name))
+
     def take(self, switch: str, *, is_write: bool) -> bool:
         """Use up one of a counted switch; false when none is left."""
         left: int = getattr(self, switch)
@@ -478,7 +493,7 @@
             return http.HTTPStatus.NOT_IMPLEMENTED, _EMPTY
         try:
             return self._routes[route](query, body)
-        except (msgspec.DecodeError, KeyError, ValueError):
+        except (LookupError, ValueError, TypeError):
             return http.HTTPStatus.BAD_REQUEST, _EMPTY
         except errors.StoreUnavailableError as exc:
             reason = str(exc)
@@ -546,49 +561,34 @@
         )
 
     def _put_faults(self, query: _Query, body: bytes) -> _Reply:
-        self._store.faults = msgspec.json.decode(body, type=Faults)
+        self._store.faults.change(**msgspec.json.decode(body or _EMPTY))
         return _json(self._store.faults)
 
 
 def server(
-    host: str = '127.0.0.1',
-    port: int = 0,
+    address: str = '127.0.0.1:0',
     store: MemoryKv | None = None,
-) -> wsgi.Server:
-    """Return an HTTP server around a twin; prepared, not yet serving.
-
-    Its ``bind_addr`` has the port that was chosen when ``port`` is 0. Run
-    ``serve()`` in a thread and end it with ``stop()``.
+) -> tuple[wsgi.Server, Faults]:
+    """Return an HTTP server around a twin; bound, not yet serving.
 
+    :param address: ``host:port``; port 0 picks a free one, which is in the
+        server's ``bind_addr``.
     :param store: the twin, a new one on the host's clock by default.
+    :returns: the server and the twin's fault switches. Run ``serve()`` of
+        the server in a thread and end it with ``stop()``.
+    :raises OSError: the address cannot be bound.
+    :raises ValueError: the port is not a number.
     """
     twin = store or MemoryKv(clock.SystemClock(), blocking=True)
+    host, _, port = address.rpartition(':')
     made = wsgi.Server(
-        (host, port),
+        (host, int(port)),
         _Front(twin),
         numthreads=_SERVER_THREADS,
         request_queue_size=128,
     )
     made.prepare()
-    return made
-
-
-def serve(host: str = '127.0.0.1', port: int = 7070) -> None:
-    """Serve a new twin until the process is interrupted.
-
-    :param host: address to listen on.
-    :param port: port to listen on, 0 for any free one.
-    """
-    made = server(host, port)
-    host_bound, port_bound = made.bind_addr[:2]
-    print(  # noqa: WPS421
-        f'kv: stand-in listens on http://{host_bound}:{port_bound}',
-        flush=True,
-    )
-    try:
-        made.serve()
-    except KeyboardInterrupt:
-        made.stop()
+    return made, twin.faults
 
 
 def _json(answer: object) -> _Reply:
--- a/papayaloom/version/compaction.py
+++ b/papayaloom/version/compaction.py
@@ -59,9 +59,12 @@
 
 
 def _write_full(store: kv.Kv, current: snapshot.Snapshot) -> bool:
-    standing, revision = log.full_state(store)
-    if standing.version >= current.version:
-        return False
+    standing = store.get(log.FULL_KEY)
+    revision = kv.ABSENT
+    if standing is not None:
+        revision = standing.revision
+        if snapshot.encoded_version(standing.value) >= current.version:
+            return False
     # The expected revision is that of the older state, so this write never
     # replaces a newer one.
     return store.put(log.FULL_KEY, current.encode(), revision).done
--- a/papayaloom/version/snapshot.py
+++ b/papayaloom/version/snapshot.py
@@ -220,6 +220,19 @@
 
     :raises errors.CodecError: the content is no full state.
     """
+    full = _decode_full(content)
+    return Snapshot(full.version, full.digest, full.branches, known)
+
+
+def encoded_version(content: bytes) -> ids.SettingsVersion:
+    """Return the version of an encoded full state.
+
+    :raises errors.CodecError: the content is no full state.
+    """
+    return _decode_full(content).version
+
+
+def _decode_full(content: bytes) -> _Full:
     stream = zlib.decompressobj()
     try:
         raw = stream.decompress(content, _MAX_FULL_BYTES)
@@ -229,7 +242,7 @@
     # Before its end, the stream has not been compared with its checksum.
     if not stream.eof or stream.unused_data:
         raise errors.CodecError('malformed full state: cut or too long')
-    return Snapshot(full.version, full.digest, full.branches, known)
+    return full
 
 
 def _next_branch(old: Branch | None, delta: change.Delta) -> Branch:
