--- a/papayaloom/process/current.py
+++ b/papayaloom/process/current.py
@@ -3,7 +3,7 @@
 import typing
 
 from papayaloom import errors, ids, messages
-from papayaloom.version import change, snapshot
+from papayaloom.version import change, schema, snapshot
 
 Subscriber = typing.Callable[[snapshot.Snapshot], object]
 
@@ -14,11 +14,14 @@
     Requests pin :attr:`snapshot` when they begin. This is the document that
     :mod:`papayaloom.process.dissemination` distributes; records are encoded
     deltas of :mod:`papayaloom.version.change`.
+
+    :param known: the declared settings; those of this release when left out.
     """
 
-    def __init__(self, first: snapshot.Snapshot | None = None) -> None:
+    def __init__(self, known: schema.Schema | None = None) -> None:
         """Start with version 0, where every setting has its default."""
-        self.snapshot = snapshot.empty() if first is None else first
+        self.snapshot = snapshot.empty(known)
+        self._schema = known
         self._subscribers: list[Subscriber] = []
 
     def subscribe(self, subscriber: Subscriber) -> None:
@@ -56,7 +59,7 @@
         :raises errors.CodecError: the content is no full state.
         :raises errors.SettingsError: it is not newer.
         """
-        newer = snapshot.decode(content)
+        newer = snapshot.decode(content, self._schema)
         if newer.version <= self.snapshot.version:
             raise errors.SettingsError(
                 f'full state {newer.version} is not newer than version '
--- a/papayaloom/process/membership.py
+++ b/papayaloom/process/membership.py
@@ -84,6 +84,12 @@
         self._ranked_at = -1
         self._forget_at = float('-inf')
 
+    def subscribe(
+        self, subscriber: typing.Callable[[messages.Member], object]
+    ) -> None:
+        """Call a function with every member whose state changes."""
+        self._view.subscribers.append(subscriber)
+
     @property
     def me(self) -> messages.Member:
         """This router's own entry."""
--- a/papayaloom/process/view.py
+++ b/papayaloom/process/view.py
@@ -29,6 +29,7 @@
         self.listed: frozenset[ids.RouterId] | None = None
         self.counts: collections.Counter[str] = collections.Counter()
         self.news = rumours.Rumours(self.table, me.router, repeat_factor, rng)
+        self.subscribers: list[typing.Callable[[messages.Member], object]] = []
         self._rng = rng
         self.announce(me, 0)
 
@@ -71,6 +72,8 @@
         if update.state is was:
             return False
         self.counts[f'became {update.state.name.lower()}'] += 1
+        for subscriber in self.subscribers:
+            subscriber(self.table.entries[update.router].member)
         return update.state is _State.SUSPECT
 
     def judge(self, entry: members.Entry, state: _State, now: float) -> None:
