--- a/papayaloom/process/admission.py
+++ b/papayaloom/process/admission.py
@@ -226,11 +226,11 @@
     def room(self, engine: ids.EngineId, now: float) -> Room:
         """Tell whether an engine has room for one more request."""
         ceiling = 0
-        share = self.engines.warm_share(engine, now)
+        multiple = self._cfg.load_multiple
+        share = self.engines.warm_share(engine, multiple, now)
         if share:
             total = self.running() + self.loads.estimate(now).lower
-            live = len(self.engines.live)
-            full = cap(self._cfg.load_multiple, total, live)
+            full = cap(multiple, total, self.engines.counted(now))
             ceiling = max(1, int(min(full, self._cfg.most_running) * share))
         right = self.rights.right(engine, ceiling, now)
         own = self.holds.count(engine)
--- a/papayaloom/process/engines.py
+++ b/papayaloom/process/engines.py
@@ -7,10 +7,16 @@
 from papayaloom import ids
 
 
+# With caps that only just add up to the load, no engine has room in time.
+_FLOOR_SLACK = 1.5
+
+
 class Cfg(msgspec.Struct, frozen=True):
     """Times of engines that come and go.
 
     :param warm_up_s: seconds until a new engine gets its full cap.
+    :param gone_s: seconds for which a lost engine still counts in the mean,
+        until the load reports of other routers no longer contain its load.
     :param announce_s: seconds until a new engine gets its first request, in
         which every router learns that the number of engines has grown.
     :param flap_memory_s: absence in seconds after which the recorded cache
@@ -18,6 +24,7 @@
     """
 
     warm_up_s: float = 20
+    gone_s: float = 1.5
     announce_s: float = 2
     flap_memory_s: float = 60
 
@@ -76,14 +83,46 @@
             self._lost.pop(gone)
         return [one for one in late if one not in self._since]
 
-    def warm_share(self, engine: ids.EngineId, now: float) -> float:
-        """Return which share of its cap an engine may use, 0 to 1."""
+    def counted(self, now: float) -> int:
+        """Return the number of engines in the mean, at least 1.
+
+        A new engine counts from a quarter of the announcement on: before any
+        router sends it a request, and not much earlier, because a larger
+        number lowers the cap of all others.
+        """
+        young = self._cfg.announce_s / 4
+        counted = sum(now - since >= young for since in self._since.values())
+        gone_s = self._cfg.gone_s
+        lost = sum(
+            now - at < gone_s and engine not in self._since
+            for engine, at in self._lost.items()
+        )
+        return max(counted + lost, 1)
+
+    def warm_share(
+        self,
+        engine: ids.EngineId,
+        multiple: float,
+        now: float,
+    ) -> float:
+        """Return which share of its cap an engine may use, 0 to 1.
+
+        :param multiple: the load multiple. The share starts where the caps of
+            all engines together are above the total load: below that, the
+            fleet would refuse requests until its total load has fallen.
+        """
         since = self._since.get(engine)
-        if since is None:
+        if since is None or now - since < self._cfg.announce_s:
             return 0
         age = now - since - self._cfg.announce_s
-        if age < 0:
-            return 0
         if age >= self._cfg.warm_up_s:
             return 1
-        return max(age / self._cfg.warm_up_s, 1e-9)
+        rising = age / self._cfg.warm_up_s
+        return min(1, max(rising, self._least_share(multiple, now), 1e-9))
+
+    def _least_share(self, multiple: float, now: float) -> float:
+        full = self._cfg.announce_s + self._cfg.warm_up_s
+        warming = sum(now - since < full for since in self._since.values())
+        count = len(self._since)
+        needed = count / multiple - (count - warming)
+        return _FLOOR_SLACK * needed / max(warming, 1)
--- a/papayaloom/process/placement.py
+++ b/papayaloom/process/placement.py
@@ -20,6 +20,8 @@
     :param hints: most hints kept.
     :param load_memory_s: seconds for which an engine's load in an answer is
         taken into account.
+    :param failed_s: seconds for which an engine that broke a connection is no
+        candidate, until the list of engines shows whether it is gone.
     :param queue_wait_s: longest time that a request waits at an engine.
     :param prefill_tokens_per_s: speed of computing a prompt.
     :param transfer_bytes_per_s: speed of moving a cache between engines.
@@ -31,7 +33,8 @@
     hint_s: float = 14400
     hints: int = 20000
     load_memory_s: float = 2
-    queue_wait_s: float = 2
+    failed_s: float = 3
+    queue_wait_s: float = 5
     prefill_tokens_per_s: float = 8000
     transfer_bytes_per_s: float = 2e9
     transfer_fixed_s: float = 0.1
@@ -121,6 +124,7 @@
         self._seen: dict[ids.EngineId, Seen] = {}
         self._ring: hashing.Ring[ids.EngineId] = hashing.Ring(())
         self._live: frozenset[ids.EngineId] = frozenset()
+        self._failed: dict[ids.EngineId, float] = {}
 
     def configure(self, cfg: Cfg) -> None:
         """Take new weights."""
@@ -185,17 +189,12 @@
         if answer.cap:
             self._seen[answer.engine] = Seen(answer.load, answer.cap, now)
 
+    def failed(self, engine: ids.EngineId, now: float) -> None:
+        """Note that an engine broke a connection."""
+        self._failed[engine] = now + self._cfg.failed_s
+
     def candidates(self, request: Request, now: float) -> list[Candidate]:
         """Return the engines worth asking, best first."""
-        found: dict[ids.EngineId, tuple[int, str]] = {}
-        kept = self._hints.get(request.chat)
-        if kept and kept.engine in self._live:
-            found[kept.engine] = (kept.tokens, 'last engine')
-        for holder, shared in self._holders(request).items():
-            if holder in self._live:
-                found.setdefault(holder, (shared, 'shared prefix'))
-        for near in self._ring.candidates(request.chat, _RING_CANDIDATES):
-            found.setdefault(near, (0, 'ring'))
         scored = [
             Candidate(
                 engine,
@@ -203,7 +202,7 @@
                 self._score(engine, tokens, request, now),
                 reason,
             )
-            for engine, (tokens, reason) in found.items()
+            for engine, (tokens, reason) in self._found(request, now).items()
         ]
         return sorted(scored, key=lambda one: one.score, reverse=True)
 
@@ -228,17 +227,6 @@
             for home, hints in batches.items()
         }
 
-    def move(self, tokens: int) -> Move:
-        """Choose how the cache of a chat that has to move is rebuilt.
-
-        :param tokens: length of the cached text.
-        """
-        cfg = self._cfg
-        recompute_s = tokens / cfg.prefill_tokens_per_s
-        size = tokens * cfg.bytes_per_token
-        transfer_s = size / cfg.transfer_bytes_per_s + cfg.transfer_fixed_s
-        return Move.TRANSFER if transfer_s < recompute_s else Move.RECOMPUTE
-
     def tick(self, now: float) -> list[messages.Send]:
         """Drop hints that were not used for long."""
         while self._hints:
@@ -257,6 +245,28 @@
         ]
         return Dump(len(self._hints), len(recent))
 
+    def _found(
+        self,
+        request: Request,
+        now: float,
+    ) -> dict[ids.EngineId, tuple[int, str]]:
+        """Return engines, the tokens they have cached, and why they stand."""
+        found: dict[ids.EngineId, tuple[int, str]] = {}
+        kept = self._hints.get(request.chat)
+        if kept and kept.engine in self._live:
+            found[kept.engine] = (kept.tokens, 'last engine')
+        for holder, shared in self._holders(request).items():
+            if holder in self._live:
+                found.setdefault(holder, (shared, 'shared prefix'))
+        for near in self._ring.candidates(request.chat, _RING_CANDIDATES):
+            found.setdefault(near, (0, 'ring'))
+        usable = {
+            engine: known
+            for engine, known in found.items()
+            if self._failed.get(engine, now) <= now
+        }
+        return usable or found
+
     def _take(self, hint: messages.Hint, now: float) -> None:
         earlier = self._hints.get(hint.chat)
         if hint.engine and (earlier is None or earlier.turns < hint.turns):
@@ -290,6 +300,17 @@
         return weight * reused - (1 - weight) * filled + noise
 
 
+def move(cfg: Cfg, tokens: int) -> Move:
+    """Choose how the cache of a chat that has to move is rebuilt.
+
+    :param tokens: length of the cached text.
+    """
+    recompute_s = tokens / cfg.prefill_tokens_per_s
+    size = tokens * cfg.bytes_per_token
+    transfer_s = size / cfg.transfer_bytes_per_s + cfg.transfer_fixed_s
+    return Move.TRANSFER if transfer_s < recompute_s else Move.RECOMPUTE
+
+
 class Next(enum.Enum):
     """What a request does after an answer."""
 
@@ -331,9 +352,10 @@
         self._cfg = cfg
         self._request = request
         self._left = collections.deque(found)
-        self._denied: list[tuple[messages.Answer, Candidate]] = []
+        self._denials: list[tuple[int, str]] = []
+        self._asked: dict[ids.EngineId, Candidate] = {}
+        self._full: dict[tuple[int, int], Candidate] = {}
         self._numbers = numbers
-        self._current: Candidate | None = None
         self._waited = False
 
     def start(self, now: float) -> Step:
@@ -346,8 +368,11 @@
             return Step(Next.RUN)
         if answer.state == messages.GrantState.QUEUED:
             return Step(Next.WAIT)
-        if self._current is not None:
-            self._denied.append((answer, self._current))
+        self._denials.append((answer.retry_after_ms, answer.setting))
+        asked = self._asked.get(answer.engine)
+        if asked is not None and answer.cap and not self._waited:
+            order = (answer.retry_after_ms, len(self._full))
+            self._full[order] = asked
         return self._next(now)
 
     def lost(self, now: float) -> Step:
@@ -356,26 +381,21 @@
 
     def _next(self, now: float) -> Step:
         if self._left and now < self._request.deadline:
-            self._current = self._left.popleft()
-            return self._ask(self._current, 0, now)
-        fullest = [
-            (denial.retry_after_ms, number)
-            for number, (denial, _) in enumerate(self._denied)
-            if denial.cap
-        ]
-        if fullest and not self._waited and now < self._request.deadline:
+            candidate = self._left.popleft()
+            self._asked[candidate.engine] = candidate
+            return self._ask(candidate, 0, now)
+        if self._full and now < self._request.deadline:
+            # Denials change while others queue, so each engine is asked again.
+            shortest = min(self._full)
             self._waited = True
-            self._current = self._denied[min(fullest)[1]][1]
-            return self._ask(self._current, self._cfg.queue_wait_s, now)
+            candidate = self._full.pop(shortest)
+            return self._ask(candidate, self._cfg.queue_wait_s, now)
         return self._refuse()
 
     def _refuse(self) -> Step:
-        if not self._denied:
+        if not self._denials:
             return Step(Next.REFUSE, reason='no owner answered')
-        retry_ms, setting = min(
-            (denial.retry_after_ms, denial.setting)
-            for denial, _ in self._denied
-        )
+        retry_ms, setting = min(self._denials)
         return Step(Next.REFUSE, None, setting, retry_ms / 1000)
 
     def _ask(self, candidate: Candidate, wait_s: float, now: float) -> Step:
