--- /dev/null
+++ b/papayaloom/version/declarations/service.py
@@ -0,0 +1,17 @@
+"""Settings of plain services."""
+
+from papayaloom.version import setting
+
+SETTINGS = (
+    setting.Setting(
+        path='service.checks_keys',
+        kind=setting.Kind.BOOLEAN,
+        unit=setting.Unit.NONE,
+        default=False,
+        axis=setting.Axis.SERVICE,
+        doc=(
+            'Whether the service itself carries out an idempotency key at '
+            'most once; its calls go on while the key-value service is down.'
+        ),
+    ),
+)
