Assemble the router process around the decision parts

Cause: the parts existed side by side; no request went through them together. One engine needed `Home.cfg`, which is a read-only property now.

--- /dev/null
+++ b/papayaloom/commands/logs.py
@@ -0,0 +1,20 @@
+"""Log lines of the console scripts: JSON to standard error."""
+
+import logging
+import sys
+
+import structlog
+
+
+def configure() -> None:
+    """Write one JSON object a line, with time, level and short sentence."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
--- a/papayaloom/process/admitting.py
+++ b/papayaloom/process/admitting.py
@@ -10,7 +10,7 @@
 import result
 
 from papayaloom import errors, ids, messages
-from papayaloom.process import placement
+from papayaloom.process import claims, placement
 from papayaloom.request import desk
 
 _BUSY = 503
@@ -73,10 +73,14 @@
 
 
 class Effects(msgspec.Struct):
-    """What the actor has to carry out."""
+    """What the actor has to carry out.
+
+    :param calls: effects of the at-most-once ledger.
+    """
 
     sends: list[messages.Send] = msgspec.field(default_factory=list)
     decided: list[Decided] = msgspec.field(default_factory=list)
+    calls: list[claims.Effects] = msgspec.field(default_factory=list)
 
 
 class _Pending(msgspec.Struct):
@@ -354,8 +358,9 @@
     if known is None or known.engine == answer.engine:
         return nowhere
     missing = known.tokens - answer.cached_tokens
-    moves = pending.home.move(missing) == placement.Move.TRANSFER
-    return known.engine if missing > 0 and moves else nowhere
+    moves = placement.move(pending.home.cfg, missing)
+    is_move = missing > 0 and moves is placement.Move.TRANSFER
+    return known.engine if is_move else nowhere
 
 
 def _request(ask: desk.ChatAsk, now: float) -> placement.Request:
--- /dev/null
+++ b/papayaloom/process/office.py
@@ -0,0 +1,259 @@
+"""Desk of the request path, in front of the router's actor."""
+
+import hashlib
+import hmac
+import itertools
+import typing
+
+import pykka
+import result
+
+from papayaloom import clock, errors, ids
+from papayaloom.ports import engine
+from papayaloom.process import actors, admitting, core, current, drain
+from papayaloom.request import desk
+from papayaloom.version import snapshot
+
+# Time for the actor to give up a search whose deadline has passed.
+_GRACE_S = 1
+
+
+class Office:
+    """Implements :class:`papayaloom.request.desk.Desk` for many threads.
+
+    :param actor: the router's actor.
+    :param held: the settings in force.
+    :param engines: used to move caches between engines.
+    :param stop: the planned stop; read by many threads.
+    """
+
+    def __init__(
+        self,
+        actor: pykka.ActorRef[actors.RouterActor],
+        held: current.Current,
+        engines: engine.Engines,
+        stop: drain.Drain,
+        source: clock.Clock,
+    ) -> None:
+        """Keep the parts."""
+        self._actor = actor
+        self._current = held
+        self._engines = engines
+        self._drain = stop
+        self._clock = source
+        self._tickets = itertools.count(1)
+        self._keys = _Keys()
+
+    def organisation(self, key: str) -> ids.OrgId | None:
+        """Return whose bearer key this is."""
+        return self._keys.find(key, self._current.snapshot)
+
+    def settings(self) -> snapshot.Snapshot:
+        """Return the settings in force."""
+        return self._current.snapshot
+
+    def admit(
+        self,
+        ask: desk.ChatAsk,
+    ) -> result.Result[desk.Grant, errors.Problem]:
+        """Choose an engine and wait for its owner's grant."""
+        ticket = next(self._tickets)
+        outcome = self._begin(
+            ticket,
+            lambda decisions, now: decisions.admit(ask, ticket, now),
+            ask.deadline_s,
+        )
+        if outcome is None:
+            self._run(lambda decisions, now: decisions.abandon(ticket, now))
+            return result.Err(
+                errors.Problem('no engine before the deadline', 504),
+            )
+        if isinstance(outcome, result.Err):
+            return outcome
+        admission = outcome.ok_value
+        if admission.previous:
+            self._move_cache(admission)
+        return result.Ok(admission.grant)
+
+    def renew(self, grant: desk.Grant) -> None:
+        """Do nothing: the core renews the holds of all grants in use."""
+
+    def release(self, grant: desk.Grant, outcome: desk.Outcome) -> None:
+        """Give the grant back."""
+        self._run(
+            lambda decisions, now: decisions.release(grant, outcome, now),
+        )
+
+    def replica(
+        self,
+        service: ids.ServiceId,
+        avoid: tuple[str, ...] = (),
+    ) -> result.Result[desk.Replica, errors.Problem]:
+        """Choose a replica of a service."""
+        return self._query(
+            lambda decisions, now: decisions.services.replica(
+                service, avoid, now
+            ),
+        )
+
+    def served(
+        self,
+        replica: desk.Replica,
+        end: desk.End,
+        seconds: float,
+    ) -> None:
+        """Say that a try at a replica ended."""
+
+        def step(decisions: core.Core, now: float) -> admitting.Effects:
+            decisions.services.served(replica.upstream, end, now)
+            return admitting.Effects()
+
+        self._run(step)
+
+    def claim(
+        self,
+        ask: desk.CallAsk,
+    ) -> result.Result[desk.Claim, errors.Problem]:
+        """Claim a call's key and wait until the claim is committed."""
+        ticket = next(self._tickets)
+        outcome = self._begin(
+            ticket,
+            lambda decisions, now: decisions.claim(
+                ask, ticket, now, self._clock.unix_ms()
+            ),
+            ask.deadline_s,
+        )
+        if outcome is None:
+            return result.Err(
+                errors.Problem('no claim before the deadline', 504),
+            )
+        return outcome
+
+    def record(self, claim: desk.Claim, outcome: desk.CallOutcome) -> bool:
+        """Hand the outcome of a granted claim to the ledger.
+
+        A claim without an outcome in the store answers repeats with "may
+        have run", so nothing needs to wait for the batched write.
+        """
+        self._run(
+            lambda decisions, now: decisions.record(claim.ask, outcome, now),
+        )
+        return True
+
+    def may_retry(self, upstream: str, target: str) -> bool:
+        """Take one retry from the budgets."""
+        return bool(
+            self._query(
+                lambda decisions, now: decisions.spend_retry(
+                    upstream, target, now
+                ),
+            ),
+        )
+
+    def failed(self, failure: desk.Failure) -> None:
+        """Note an upstream that refused work because it is leaving."""
+        if failure.leaving:
+            self._run(
+                lambda decisions, now: decisions.upstream_leaving(
+                    failure.upstream, now
+                ),
+            )
+
+    def accepting(self) -> bool:
+        """Return whether new requests are accepted."""
+        return self._drain.takes_requests()
+
+    def dump(self) -> core.Dump:
+        """Return a copy of the decision state."""
+        return typing.cast(
+            core.Dump,
+            self._query(lambda decisions, now: decisions.dump(now)),
+        )
+
+    def _begin(
+        self,
+        ticket: int,
+        step: typing.Callable[[core.Core, float], admitting.Effects],
+        deadline_s: float,
+    ) -> typing.Any:
+        """Start a step and wait for its outcome; nothing when it is late."""
+        fut: pykka.Future[actors.Outcome] = pykka.ThreadingFuture()
+        self._actor.tell(actors.Begin(ticket, fut, step))
+        try:
+            return fut.get(timeout=deadline_s + _GRACE_S)
+        except pykka.Timeout:
+            return None
+
+    def _run(
+        self,
+        step: typing.Callable[[core.Core, float], admitting.Effects],
+    ) -> None:
+        self._actor.tell(actors.Run(step))
+
+    def _query(
+        self,
+        step: typing.Callable[[core.Core, float], typing.Any],
+    ) -> typing.Any:
+        return self._actor.ask(actors.Query(step))
+
+    def _move_cache(self, admission: admitting.Admission) -> None:
+        """Copy a chat's cache; without it the engine computes the prompt."""
+        source = self._query(
+            lambda decisions, _: decisions.chats.url_of(admission.previous),
+        )
+        if not source:
+            return
+        try:
+            cache = self._engines.export_cache(source, admission.chat)
+        except errors.PapayaloomError:
+            return
+        try:
+            self._engines.import_cache(
+                admission.grant.url,
+                admission.chat,
+                cache,
+            )
+        except errors.PapayaloomError:
+            return
+
+
+class _Keys:
+    """Organisations by the hash of their key, for one settings version."""
+
+    def __init__(self) -> None:
+        """Start without a version."""
+        self._version = -1
+        self._hashes: dict[str, ids.OrgId] = {}
+
+    def find(self, key: str, settings: snapshot.Snapshot) -> ids.OrgId | None:
+        """Return whose key this is."""
+        if settings.version != self._version:
+            self._hashes = _hashes(settings)
+            self._version = settings.version
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        found = None
+        # The look-up is by a hash that the caller cannot steer; the compare
+        # in constant time keeps the last step from leaking as well.
+        for known, org in self._candidates(digest):
+            if hmac.compare_digest(known, digest):
+                found = org
+        return found
+
+    def _candidates(
+        self,
+        digest: str,
+    ) -> list[tuple[str, ids.OrgId]]:
+        org = self._hashes.get(digest)
+        return [(digest, org)] if org is not None else []
+
+
+def _hashes(settings: snapshot.Snapshot) -> dict[str, ids.OrgId]:
+    found: dict[str, ids.OrgId] = {}
+    for branch in settings.branches:
+        kind, _, name = branch.partition('/')
+        if kind != 'organisations':
+            continue
+        hashes = settings.resolve('organisation.key_hashes', org=name).value
+        for known in typing.cast('tuple[str, ...]', hashes):
+            found[known.lower()] = ids.OrgId(name)
+    return found
--- a/papayaloom/process/placement.py
+++ b/papayaloom/process/placement.py
@@ -126,6 +126,11 @@
         self._live: frozenset[ids.EngineId] = frozenset()
         self._failed: dict[ids.EngineId, float] = {}
 
+    @property
+    def cfg(self) -> Cfg:
+        """Return the weights in force."""
+        return self._cfg
+
     def configure(self, cfg: Cfg) -> None:
         """Take new weights."""
         self._cfg = cfg
--- /dev/null
+++ b/papayaloom/process/router.py
@@ -0,0 +1,263 @@
+"""Assembly of the router process: parts, actors, threads, planned stop."""
+
+import random
+import threading
+import time
+
+import msgspec
+import pykka
+import structlog
+
+from papayaloom import clock, errors, ids, messages
+from papayaloom.connection import codec, peers
+from papayaloom.ports import engine_http, hosts, kv, service_http
+from papayaloom.process import (
+    actors,
+    admitting,
+    arrivals,
+    bootstrap,
+    configuration,
+    core,
+    current,
+    drain,
+    http_front,
+    ledger_writer,
+    office,
+    outbox,
+    polling,
+    records,
+    store_io,
+    timers,
+    watch,
+)
+from papayaloom.version import snapshot
+
+_log = structlog.get_logger('router')
+_TICK_S = 0.05
+_STOP_TICK_S = 0.25
+
+
+class Router:
+    """A router process.
+
+    :param file: the process's settings file.
+    """
+
+    def __init__(self, file: bootstrap.Router) -> None:
+        """Bind the addresses; :meth:`start` begins to serve.
+
+        :raises papayaloom.errors.SettingsError: an address is wrong or taken.
+        """
+        self._file = file
+        self._clock = clock.SystemClock()
+        self._boot = self._clock.unix_ms()
+        self._current = current.Current()
+        self._stopped = threading.Event()
+        rng = random.SystemRandom()
+        self._core = core.Core(
+            _member(file, self._boot),
+            self._current,
+            rng,
+        )
+        self._codec = codec.Codec(
+            _codec_cfg(file, self._current.snapshot),
+            ids.RouterId(file.name),
+            self._boot,
+        )
+        self._outbox = outbox.Outbox(
+            configuration.outgoing(self._current.snapshot),
+            self._codec,
+            self._clock.monotonic(),
+        )
+        self._peers = self._listen()
+        store = kv.HttpKv(file.kv_url)
+        self._store = store_io.StoreCalls(store, self._stored)
+        self._actor = self._start_actor()
+        engines = engine_http.HttpEngines()
+        self._office = office.Office(
+            self._actor,
+            self._current,
+            engines,
+            self._core.drain,
+            self._clock,
+        )
+        self._watch = watch.Watch(self._office, self._clock)
+        self._records = records.Records()
+        self._server = self._serve(engines, rng)
+        self._timers = timers.Timers(self._clock)
+        reader = polling.SettingsReader(store, self._current, self._actor)
+        self._pollers = (
+            polling.host_poller(hosts.HttpHosts(file.hosts_url), self._actor),
+            polling.engine_poller(engines, self._actor),
+            reader.poller(),
+        )
+        self._current.subscribe(self._configure)
+
+    def start(self) -> None:
+        """Serve until :meth:`begin_stop` has run to its end."""
+        self._peers.start()
+        self._watch.start()
+        self._timers.every(_TICK_S, self._tick)
+        self._timers.every(_STOP_TICK_S, self._tick_stop)
+        self._timers.start()
+        for poller in self._pollers:
+            poller.start()
+        threading.Thread(
+            target=self._server.serve, name='http', daemon=True
+        ).start()
+        _log.info(
+            'router: serving',
+            name=self._file.name,
+            http=self._file.http,
+            zone=self._file.zone,
+        )
+
+    def wait(self) -> None:
+        """Wait for the end of a planned stop."""
+        while not self._stopped.wait(1):
+            if not self._actor.is_alive():
+                raise errors.PapayaloomError('the decision core failed')
+        self._close()
+
+    def begin_stop(self) -> None:
+        """Begin a planned stop; a second call changes nothing."""
+        self._actor.tell(actors.Run(self._begin_stop))
+
+    def _begin_stop(
+        self, decisions: core.Core, now: float
+    ) -> admitting.Effects:
+        return self._stopping(decisions, decisions.drain.begin(now), now)
+
+    def _tick_stop(self) -> None:
+        self._actor.tell(actors.Run(self._go_on_stopping))
+
+    def _go_on_stopping(
+        self,
+        decisions: core.Core,
+        now: float,
+    ) -> admitting.Effects:
+        if decisions.drain.state is drain.State.SERVING:
+            return admitting.Effects()
+        waiting = self._outbox.waiting_bytes(messages.Priority.HANDOVER)
+        handed_over = not waiting and decisions.claims.ledger.idle
+        step = decisions.drain.tick(len(self._watch), handed_over, now)
+        return self._stopping(decisions, step, now)
+
+    def _stopping(
+        self,
+        decisions: core.Core,
+        step: drain.Step,
+        now: float,
+    ) -> admitting.Effects:
+        """Carry out a step of the planned stop."""
+        effects = admitting.Effects()
+        if step.progress:
+            _log.info(step.progress)
+        if step.announce:
+            effects.sends.extend(decisions.members.leave(now))
+        if step.hand_over:
+            effects.sends.extend(decisions.chats.handover())
+        if step.stop:
+            effects.sends.extend(decisions.members.stopped(now))
+            self._stopped.set()
+        return effects
+
+    def _close(self) -> None:
+        for poller in self._pollers:
+            poller.stop()
+        self._timers.stop()
+        self._server.stop()
+        self._watch.stop()
+        self._store.stop()
+        self._actor.stop()
+        self._peers.close()
+        _log.info('router: stopped', name=self._file.name)
+
+    def _listen(self) -> peers.Peers:
+        try:
+            return peers.Peers(f'tcp://{self._file.control}', self._received)
+        except Exception as exc:
+            raise errors.SettingsError(
+                f'cannot listen on control {self._file.control}: {exc}',
+            ) from exc
+
+    def _received(self, packet: bytes) -> None:
+        self._actor.tell(packet)
+
+    def _stored(self, stored: ledger_writer.Stored) -> None:
+        self._actor.tell(
+            actors.Run(lambda decisions, now: decisions.stored(stored, now)),
+        )
+
+    def _start_actor(self) -> pykka.ActorRef[actors.RouterActor]:
+        wires = actors.Wires(
+            self._codec, self._outbox, self._peers, self._store.run
+        )
+        return actors.RouterActor.start(self._core, wires, self._clock)
+
+    def _serve(
+        self,
+        engines: engine_http.HttpEngines,
+        rng: random.Random,
+    ) -> http_front.Server:
+        front = http_front.Front(
+            arrivals.Parts(
+                office=self._office,
+                engines=engines,
+                services=service_http.HttpServices(),
+                clock=self._clock,
+                rng=rng,
+                kept=self._records,
+                watch=self._watch,
+                sleep=time.sleep,
+                router=ids.RouterId(self._file.name),
+            ),
+        )
+        server = http_front.Server(
+            bootstrap.address(self._file.http, 'http'),
+            front,
+            configuration.callers(self._current.snapshot),
+        )
+        try:
+            server.prepare()
+        except OSError as exc:
+            raise errors.SettingsError(
+                f'cannot listen on http {self._file.http}: {exc}',
+            ) from exc
+        return server
+
+    def _tick(self) -> None:
+        unix_ms = self._clock.unix_ms()
+        self._actor.tell(
+            actors.Run(lambda decisions, now: decisions.tick(now, unix_ms)),
+        )
+
+    def _configure(self, settings: snapshot.Snapshot) -> None:
+        """Take a new version; called by the core, on the actor's thread."""
+        self._codec.configure(_codec_cfg(self._file, settings))
+        self._outbox.configure(configuration.outgoing(settings))
+        if settings.version:
+            _log.info('settings: version in force', version=settings.version)
+
+
+def _member(file: bootstrap.Router, boot: int) -> messages.Member:
+    return messages.Member(
+        router=ids.RouterId(file.name),
+        address=f'tcp://{file.control}',
+        http=f'http://{file.http}',
+        zone=ids.ZoneId(file.zone),
+        region=ids.RegionId(file.region),
+        incarnation=boot // 1000,
+    )
+
+
+def _codec_cfg(
+    file: bootstrap.Router,
+    settings: snapshot.Snapshot,
+) -> codec.Cfg:
+    """Return the keys of the settings tree, and then those of the file."""
+    keys = configuration.control_keys(settings) + file.control_keys
+    return msgspec.structs.replace(
+        codec.Cfg(file.deployment, ()),
+        keys=tuple(key.encode() for key in keys),
+    )
--- /dev/null
+++ b/papayaloom/process/targets.py
@@ -0,0 +1,167 @@
+"""What this router keeps for each model and each service."""
+
+import random
+import typing
+
+import msgspec
+
+from papayaloom import ids, messages
+from papayaloom.ports import engine as engine_port
+from papayaloom.ports import hosts
+from papayaloom.process import (
+    admission,
+    budgets,
+    configuration,
+    ejection,
+    placement,
+    prefixes,
+)
+from papayaloom.version import snapshot, tree
+
+
+class Upstream(msgspec.Struct, frozen=True):
+    """A live or leaving upstream of the host list."""
+
+    name: str
+    url: str
+    zone: ids.ZoneId
+    leaving: bool
+
+
+class ServiceParts:
+    """State for one plain service."""
+
+    def __init__(
+        self,
+        name: ids.ServiceId,
+        settings: snapshot.Snapshot,
+        rng: random.Random,
+    ) -> None:
+        """Start without replicas."""
+        self.target = tree.service(name)
+        self.replicas: dict[str, Upstream] = {}
+        cfg = configuration.ejections(settings, self.target)
+        self.ejection = ejection.Ejection(cfg, rng)
+        self.budgets = budgets.Budgets(
+            configuration.retries(settings, self.target),
+        )
+
+    def configure(self, settings: snapshot.Snapshot) -> None:
+        """Take new settings."""
+        self.ejection.configure(
+            configuration.ejections(settings, self.target),
+        )
+        self.budgets.configure(configuration.retries(settings, self.target))
+
+    def update(self, replicas: typing.Iterable[Upstream]) -> None:
+        """Take the newest list of replicas."""
+        self.replicas = {one.name: one for one in replicas}
+        self.ejection.update_upstreams(self.replicas)
+
+
+class ModelParts:
+    """State for one model: owner side, home side, caches, ejection."""
+
+    def __init__(
+        self,
+        me: ids.RouterId,
+        model: ids.ModelId,
+        settings: snapshot.Snapshot,
+        rng: random.Random,
+    ) -> None:
+        """Start without engines."""
+        self.model = model
+        self.target = tree.model(model)
+        self.engines: dict[ids.EngineId, Upstream] = {}
+        # Time of the message or tick that is being handled, in seconds.
+        self.now: float = 0
+        sizes = configuration.cached(settings, self.target)
+        self.prefixes = prefixes.Prefixes(sizes)
+        self.holders = prefixes.Holders(sizes)
+        self.owner = admission.Owner(
+            configuration.owner(settings, self.target),
+            me,
+            model,
+            self._cached,
+        )
+        self.home = placement.Home(
+            configuration.home(settings, self.target),
+            rng,
+            lambda req: self.holders.find(req.prefixes),
+        )
+        cfg = configuration.ejections(settings, self.target)
+        self.ejection = ejection.Ejection(cfg, rng)
+        self.budgets = budgets.Budgets(
+            configuration.retries(settings, self.target),
+        )
+
+    def configure(self, settings: snapshot.Snapshot) -> None:
+        """Take new settings; requests and caches stay."""
+        self.owner.configure(configuration.owner(settings, self.target))
+        self.home.configure(configuration.home(settings, self.target))
+        self.prefixes.configure(configuration.cached(settings, self.target))
+        self.ejection.configure(
+            configuration.ejections(settings, self.target),
+        )
+        self.budgets.configure(configuration.retries(settings, self.target))
+
+    def update(
+        self,
+        upstreams: typing.Iterable[Upstream],
+        now: float,
+    ) -> list[messages.Send]:
+        """Take the newest list of engines.
+
+        :returns: denials of requests that waited for an engine that left.
+        """
+        self.engines = {ids.EngineId(one.name): one for one in upstreams}
+        leaving = [name for name, one in self.engines.items() if one.leaving]
+        live = [name for name, one in self.engines.items() if not one.leaving]
+        self.home.update_engines(live)
+        self.ejection.update_upstreams(live)
+        denials = self.owner.update_engines(live, leaving, now)
+        for gone in self.owner.engines.forgettable(now):
+            self.prefixes.forget(gone)
+        return denials
+
+    def cache_events(
+        self,
+        engine: ids.EngineId,
+        events: typing.Iterable[engine_port.CacheEvent],
+        now: float,
+    ) -> None:
+        """Take the cache events of an engine that this router owns."""
+        for event in events:
+            stored = event.prefixes if event.kind == 'stored' else ()
+            removed = event.prefixes if event.kind == 'evicted' else ()
+            self.prefixes.event(
+                engine,
+                prefixes.Event(event.sequence, stored, removed),
+                now,
+            )
+
+    def _cached(self, ask: messages.Ask) -> int:
+        """Return what is cached of a granted prompt, and note its use."""
+        found = self.prefixes.tokens(ask.engine, ask.prefixes)
+        self.prefixes.use(ask.engine, ask.prefixes, self.now)
+        return found
+
+
+def by_name(
+    listed: hosts.HostList,
+    kind: hosts.Kind,
+    leaving: typing.Container[str],
+) -> dict[str, list[Upstream]]:
+    """Group the upstreams of the host list by model or service.
+
+    :param leaving: upstreams that said themselves that they are leaving.
+    """
+    found: dict[str, list[Upstream]] = {}
+    for host in listed.hosts:
+        if host.kind is not kind:
+            continue
+        going = host.state is hosts.HostState.LEAVING or host.host in leaving
+        found.setdefault(host.name, []).append(
+            Upstream(host.host, host.address, host.zone, going),
+        )
+    return found
