--- a/papayaloom/bench/placement_policies.py
+++ b/papayaloom/bench/placement_policies.py
@@ -15,6 +15,7 @@
 ONE_WAY_S = 0.0015
 ANSWER_TIMEOUT_S = 0.05
 GOSSIP_FANOUT = 2
+PUSH_MEMBERS = 12
 MISROUTED = 0.03
 
 
@@ -206,7 +207,7 @@
             rng,
             lambda request: self.holders.find(request.prefixes),
         )
-        self.running = running.Running(cfg.owner.hold_s / 4)
+        self.running = running.Running(1)
         self.searches: dict[int, tuple[placement.Search, worlds.Job]] = {}
         self.paused = False
         self.inbox: list[tuple[ids.RouterId, messages.Message]] = []
@@ -306,7 +307,11 @@
 
     def arrive(self, job: worlds.Job) -> None:
         """Give a request to its home, or now and then to another router."""
-        alive = [name for name, node in self.nodes.items() if not node.paused]
+        alive = [
+            name
+            for name, node in self.nodes.items()
+            if not node.paused and node.owner.ranks.quorate
+        ]
         home = hashing.rank(job.chat, alive)[0]
         if self.rng.random() < MISROUTED:
             strange = self.nodes[self.rng.choice(alive)]
@@ -357,7 +362,7 @@
         node = Node(name, self._cfg, random.Random(self.rng.random()))
         self.nodes[name] = node
         node.owner.update_engines(self.world.engines, (), self.world.now)
-        node.home.update_engines(self.world.engines)
+        node.home.update_engines(list(self.world.engines))
         return node
 
     def _announced(self, engine: ids.EngineId) -> bool:
@@ -378,8 +383,7 @@
         self._send(node, node.owner.tick(self.world.now))
         ranks = node.owner.ranks
         sends = node.running.tick(
-            lambda engine: ranks.order(engine)[0],
-            ranks.ranked,
+            ranks.order,
             self.world.now,
         )
         self._send(node, sends)
@@ -449,10 +453,29 @@
             self._send(node, sends)
             return
         self._send(node, node.owner.handle(sender, message, self.world.now))
+        if isinstance(message, messages.Release):
+            self._push(node)
+
+    def _push(self, node: Node) -> None:
+        """Tell all members of a small fleet that requests have ended."""
+        untold = node.owner.loads.untold(node.owner.holds.finished)
+        if untold and len(self.nodes) <= PUSH_MEMBERS:
+            full = node.owner.report(self.world.now)
+            report = messages.LoadReport(full.loads[:1])
+            priority = messages.Priority.LOAD
+            self._send(
+                node,
+                [
+                    messages.Send(peer, report, priority)
+                    for peer in node.states
+                    if peer != node.name
+                ],
+            )
 
     def _search(self, node: Node, job: worlds.Job) -> None:
         now = self.world.now
-        if node.paused:
+        if node.paused or not node.owner.ranks.quorate:
+            # The caller goes to another address of its list.
             self.world.after(0.1, self.arrive, job)
             return
         request = placement.Request(
@@ -481,11 +504,19 @@
     ) -> None:
         if step.action == placement.Next.REFUSE:
             self.world.refuse(job)
+        elif step.action == placement.Next.LATER:
+            self.world.after(
+                step.retry_after_s,
+                self._again,
+                node,
+                search,
+                job,
+            )
         elif step.ask is not None:
             ask = step.ask
             node.searches[ask.ask] = (search, job)
             self._tries[(node.name, ask.ask)] = job
-            owner = node.owner.ranks.order(ask.engine)[0]
+            owner = node.owner.ranks.target(ask.engine, other=step.other)
             priority = messages.Priority.ADMISSION
             self._send(node, [messages.Send(owner, ask, priority)])
             self.world.after(
@@ -496,6 +527,14 @@
                 owner,
             )
 
+    def _again(
+        self,
+        node: Node,
+        search: placement.Search,
+        job: worlds.Job,
+    ) -> None:
+        self._step(node, search, job, search.again(self.world.now))
+
     def _timeout(
         self,
         node: Node,
@@ -511,7 +550,7 @@
         release = messages.Release(ask.ask, ask.engine, finished=False)
         priority = messages.Priority.ADMISSION
         self._send(node, [messages.Send(owner, release, priority)])
-        self._step(node, search, job, search.lost(self.world.now))
+        self._step(node, search, job, search.lost(ask.engine, self.world.now))
 
     def _answered(
         self,
@@ -560,11 +599,21 @@
             for node in self.nodes.values():
                 if node.name in node.owner.ranks.order(name):
                     delay = self.world.rng.uniform(*self.world.lag)
-                    self.world.after(delay, self._read, node, name, count)
+                    taken = self.world.now
+                    self.world.after(
+                        delay, self._read, node, name, count, taken
+                    )
 
-    def _read(self, node: Node, engine: ids.EngineId, count: int) -> None:
+    def _read(
+        self,
+        node: Node,
+        engine: ids.EngineId,
+        count: int,
+        taken: float,
+    ) -> None:
         if not node.paused:
-            node.owner.engine_report(engine, count, self.world.now)
+            now = self.world.now
+            node.owner.engine_report(engine, count, taken, now)
 
     def _learn(self, node: Node) -> None:
         engines = self.world.engines
--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -75,6 +75,7 @@
     :param engines: how many engines it owns.
     :param sequence: milliseconds of the sender's monotonic clock at the count.
     :param age_ms: how old the count was when this message was sent.
+    :param finished: requests that have ended there since the router's start.
     """
 
     router: ids.RouterId
@@ -83,6 +84,26 @@
     engines: int
     sequence: int
     age_ms: int
+    finished: int = 0
+
+
+class Covered(msgspec.Struct, frozen=True, array_like=True):
+    """Running requests of an engine whose owner may be silent.
+
+    :param router: the second in rank, which read the engine's own count.
+    :param owner: the first in rank; while its subtotal is known, this count
+        is not used.
+    :param running: requests that the second has not granted itself.
+    :param sequence: milliseconds of the sender's monotonic clock at the count.
+    """
+
+    router: ids.RouterId
+    owner: ids.RouterId
+    model: ids.ModelId
+    engine: ids.EngineId
+    running: int
+    sequence: int
+    age_ms: int
 
 
 class Ping(Message, frozen=True, array_like=True):
@@ -132,6 +153,7 @@
     """The newest load counts that the sender knows."""
 
     loads: tuple[Load, ...]
+    covered: tuple[Covered, ...] = ()
 
 
 class SettingsRequest(Message, frozen=True, array_like=True):
--- a/papayaloom/process/admission.py
+++ b/papayaloom/process/admission.py
@@ -167,11 +167,18 @@
         self,
         engine: ids.EngineId,
         running: int,
+        taken: float,
         now: float,
     ) -> None:
-        """Take an engine's own count of running requests."""
-        self.holds.correct(engine, running, now)
-        self.rights.reported(engine, running, now)
+        """Take an engine's own count of running requests.
+
+        :param taken: when the engine was asked, in seconds of this router's
+            clock; the count is not older.
+        """
+        self.holds.correct(engine, running, taken, now)
+        self.rights.reported(engine, running, taken)
+        foreign = max(0, running - self.holds.count(engine))
+        self.loads.cover(engine, self.ranks.order(engine)[0], foreign, taken)
 
     def handle(
         self,
@@ -207,29 +214,30 @@
             sends.extend(self._serve(engine, now))
         renew_s = self._cfg.promise.renew_s
         sends.extend(self.rights.tick(self.engines.live, renew_s, now))
-        self.loads.observe(self.holds.finished, self.running(), now)
+        self.loads.observe(self.holds.finished, self.running(now), now)
         return sends
 
     def report(self, now: float) -> messages.LoadReport:
         """Return the load report to be gossiped."""
-        return self.loads.report(self.running(), len(self.engines.live), now)
-
-    def running(self) -> int:
-        """Return own grants on live engines."""
-        live = self.engines.live
-        return sum(
-            self.holds.count(engine)
-            for engine in self.holds.engines()
-            if engine in live
+        return self.loads.report(
+            self.running(now),
+            len(self.engines.live),
+            self.holds.finished,
+            now,
         )
 
+    def running(self, now: float) -> int:
+        """Return a lower estimate of own grants on live engines."""
+        rate = self.loads.finish_rate
+        return self.holds.lower(self.engines.live, rate, now)
+
     def room(self, engine: ids.EngineId, now: float) -> Room:
         """Tell whether an engine has room for one more request."""
         ceiling = 0
         multiple = self._cfg.load_multiple
         share = self.engines.warm_share(engine, multiple, now)
         if share:
-            total = self.running() + self.loads.estimate(now).lower
+            total = self.running(now) + self.loads.estimate(now).lower
             full = cap(multiple, total, self.engines.counted(now))
             ceiling = max(1, int(min(full, self._cfg.most_running) * share))
         right = self.rights.right(engine, ceiling, now)
@@ -255,7 +263,7 @@
                 ),
             )
         return Dump(
-            self.loads.estimate(now).lower + self.running(),
+            self.loads.estimate(now).lower + self.running(now),
             len(self.engines.live),
             self.ranks.quorate,
             tuple(shown),
--- a/papayaloom/process/holds.py
+++ b/papayaloom/process/holds.py
@@ -9,10 +9,17 @@
 
 Key = tuple[ids.RouterId, int]
 
+# Longest time until a grant stands in the renewals of its home.
+_UNKNOWN_S = 1.0
+
 # Seconds of count history that a lagging engine report is compared with.
 _HISTORY_S = 5.0
 
 
+# Time around an engine's count in which grants are on their way.
+_REPORT_SPREAD_S = 0.05
+
+
 class Grant(msgspec.Struct):
     """A running request.
 
@@ -42,12 +49,19 @@
             ids.EngineId,
             collections.deque[tuple[float, int]],
         ] = {}
+        self._heard: dict[ids.RouterId, float] = {}
+        self._corrected: dict[ids.EngineId, float] = {}
         self._extra: dict[ids.EngineId, int] = {}
 
     def count(self, engine: ids.EngineId) -> int:
         """Return how many grants are running on an engine."""
         return len(self._grants.get(engine, ()))
 
+    def count_since(self, engine: ids.EngineId, moment: float) -> int:
+        """Return how many running grants are newer than a moment."""
+        grants = self._grants.get(engine, {})
+        return sum(held.granted > moment for held in grants.values())
+
     def extra(self, engine: ids.EngineId) -> int:
         """Return running requests that only the engine's report shows."""
         return self._extra.get(engine, 0)
@@ -90,52 +104,98 @@
         self,
         sender: ids.RouterId,
         engine: ids.EngineId,
-        asks: typing.Iterable[int],
+        asks: typing.Collection[int],
         now: float,
     ) -> None:
-        """Renew a sender's grants and adopt those of an earlier owner."""
+        """Renew a sender's grants and adopt those of an earlier owner.
+
+        A grant that the sender does not name has ended, and its release was
+        lost, unless it is too new for the sender to know of it.
+        """
+        self._heard[sender] = now
+        ended = [
+            key
+            for key, held in self._grants.get(engine, {}).items()
+            if key[0] == sender
+            and key[1] not in asks
+            and now - held.granted > _UNKNOWN_S
+        ]
+        for gone in ended:
+            self.remove(gone, engine, now)
         for ask in asks:
-            key = (sender, ask)
-            if self.has(key, engine):
-                self._grants[engine][key].expires = now + self.hold_s
+            named = (sender, ask)
+            if self.has(named, engine):
+                self._grants[engine][named].expires = now + self.hold_s
             else:
-                self.add(key, Grant(engine, now), now)
+                self.add(named, Grant(engine, now), now)
 
-    def expire(self, now: float) -> list[ids.EngineId]:
+    def lower(
+        self,
+        engines: typing.Container[ids.EngineId],
+        finish_rate: float,
+        now: float,
+    ) -> int:
+        """Return a lower estimate of the grants on some engines.
+
+        Releases of a home that is silent are lost, so its grants count less
+        the longer it is silent.
+
+        :param finish_rate: finished requests per running request and second.
+        """
+        counts: collections.Counter[ids.RouterId] = collections.Counter()
+        for engine, grants in self._grants.items():
+            if engine in engines:
+                counts.update(key[0] for key in grants)
+        total = 0
+        for home, count in counts.items():
+            silent = now - self._heard.get(home, now) - self.hold_s / 3
+            share = max(0, 1 - max(0, silent) * finish_rate * 2)
+            total += int(count * share)
+        return total
+
+    def expire(self, now: float) -> None:
         """Drop grants whose hold time has passed.
 
-        :returns: the engines that lost a grant.
+        Their requests may still run, so they count as extra until the next
+        report of an engine that reports.
         """
-        freed = []
         for engine, grants in self._grants.items():
             late = [key for key, held in grants.items() if held.expires <= now]
             for key in late:
                 grants.pop(key)
             if late:
-                freed.append(engine)
                 self._note(engine, now)
-        return freed
+                if now - self._corrected.get(engine, -_HISTORY_S) < _HISTORY_S:
+                    self._extra[engine] = self.extra(engine) + len(late)
 
     def clear(self, engine: ids.EngineId) -> None:
         """Forget an engine that is gone."""
         self._grants.pop(engine, None)
         self._peaks.pop(engine, None)
         self._extra.pop(engine, None)
+        self._corrected.pop(engine, None)
 
     def correct(
         self,
         engine: ids.EngineId,
         running: int,
+        taken: float,
         now: float,
     ) -> None:
         """Compare with the engine's own report.
 
-        The report lags, so only what exceeds every count of the last seconds
-        is taken as running without a grant known here.
+        :param taken: when the engine was asked; the report lags, so it is
+            compared with the counts of that time.
         """
         self._note(engine, now)
-        peak = max(count for _, count in self._peaks[engine])
-        self._extra[engine] = max(0, running - peak)
+        self._corrected[engine] = taken
+        counts = self._peaks[engine]
+        before = [count for at, count in counts if at <= taken]
+        during = [
+            count for at, count in counts if abs(at - taken) <= _REPORT_SPREAD_S
+        ]
+        known = max((*before[-1:], *during), default=self.count(engine))
+        self._extra[engine] = max(0, running - known)
 
     def _note(self, engine: ids.EngineId, now: float) -> None:
         peaks = self._peaks.setdefault(engine, collections.deque())
--- a/papayaloom/process/loads.py
+++ b/papayaloom/process/loads.py
@@ -12,6 +12,12 @@
 _RATE_EXPOSURE = 1000
 
 
+# Part of the skew of a Poisson count in its upper quantile.
+_POISSON_SKEW = 1 / 6
+
+# Weight of one report among those that show losses.
+_LEARNING = 0.05
+
 # Seconds for which an estimate is kept; each counts as old as it may get.
 _KEPT_S = 0.05
 
@@ -42,6 +48,13 @@
     taken: float
 
 
+class Cover(msgspec.Struct):
+    """Newest count of one engine by the second in rank."""
+
+    load: messages.Covered
+    taken: float
+
+
 class Estimate(msgspec.Struct, frozen=True):
     """Running requests of other routers.
 
@@ -53,6 +66,67 @@
     lower: int
 
 
+class Clocks:
+    """Differences between the clocks of other routers and the own one.
+
+    The smallest difference that was seen shows how late a message is. Its own
+    age does not count the time on the way.
+    """
+
+    def __init__(self) -> None:
+        """Start without differences."""
+        self._offsets: dict[ids.RouterId, float] = {}
+
+    def taken(
+        self,
+        load: messages.Load | messages.Covered,
+        now: float,
+    ) -> float:
+        """Return when a load was counted, in seconds of the own clock."""
+        sent = load.sequence / 1000
+        offset = now - load.age_ms / 1000 - sent
+        earlier = self._offsets.get(load.router, offset)
+        self._offsets[load.router] = min(earlier, offset)
+        return sent + self._offsets[load.router]
+
+    def forget(self, router: ids.RouterId) -> None:
+        """Drop the difference to a router's clock."""
+        self._offsets.pop(router, None)
+
+
+class Losses:
+    """How many ends of requests were not reported at once.
+
+    A router that tells every end at once leaves nothing unseen but what is
+    lost or late. That is learned from the counts of ended requests.
+    """
+
+    def __init__(self) -> None:
+        """Start as if no end was reported at once."""
+        self._missed: float = 1
+        self._late_s: float = 1
+
+    def learn(self, ended: int, late_s: float) -> None:
+        """Note a report.
+
+        :param ended: requests that have ended since the report before.
+        :param late_s: age of the report when it came.
+        """
+        self._late_s = max(late_s, self._late_s * (1 - _LEARNING))
+        if ended > 0:
+            missed = (ended - 1) / ended
+            self._missed += (missed - self._missed) * min(1, ended * _LEARNING)
+
+    def unseen_s(self, age: float) -> float:
+        """Return the seconds of a report's age whose ends are not known.
+
+        After a second without any report, none of them is.
+        """
+        promised = min(age, 1)
+        unseen = promised * self._missed + min(promised, self._late_s)
+        return min(age, unseen + max(0, age - 1))
+
+
 class Loads:
     """Newest subtotal of each other router for one model.
 
@@ -70,7 +144,10 @@
         self._router = router
         self._model = model
         self._subtotals: dict[ids.RouterId, Subtotal] = {}
-        self._offsets: dict[ids.RouterId, float] = {}
+        self._covers: dict[ids.EngineId, Cover] = {}
+        self._told = 0
+        self._clocks = Clocks()
+        self._losses = Losses()
         self.finish_rate = cfg.finish_rate
         self._observed: tuple[float, int] | None = None
         self._estimate = Estimate(0, 0)
@@ -80,6 +157,28 @@
         """Take new limits."""
         self._cfg = cfg
 
+    def cover(
+        self,
+        engine: ids.EngineId,
+        owner: ids.RouterId,
+        running: int,
+        taken: float,
+    ) -> None:
+        """Note an engine's own count, to stand in for a silent owner.
+
+        :param running: running requests without those granted here.
+        """
+        load = messages.Covered(
+            self._router,
+            owner,
+            self._model,
+            engine,
+            running,
+            round(taken * 1000),
+            0,
+        )
+        self._covers[engine] = Cover(load, taken)
+
     def observe(self, finished: int, running: int, now: float) -> None:
         """Learn the rate of completions from own requests, once a second.
 
@@ -100,21 +199,34 @@
         for load in report.loads:
             if load.router != self._router and load.model == self._model:
                 self._take(load, now)
+        for cover in report.covered:
+            if cover.router != self._router and cover.model == self._model:
+                self._take_cover(cover, now)
 
     def forget(self, members: typing.Container[ids.RouterId]) -> None:
         """Drop the subtotals of routers that are no members any more."""
         gone = [one for one in self._subtotals if one not in members]
         for router in gone:
             self._subtotals.pop(router)
-            self._offsets.pop(router, None)
+            self._clocks.forget(router)
+        self._covers = {
+            engine: cover
+            for engine, cover in self._covers.items()
+            if cover.load.owner in members
+        }
 
     def report(
         self,
         running: int,
         engines: int,
+        finished: int,
         now: float,
     ) -> messages.LoadReport:
-        """Return own subtotal and the newest ones known of others."""
+        """Return own subtotal and the newest ones known of others.
+
+        :param finished: own requests that have ended since the start.
+        """
+        self._told = finished
         own = messages.Load(
             self._router,
             self._model,
@@ -122,6 +234,7 @@
             engines,
             round(now * 1000),
             0,
+            finished,
         )
         others = [
             msgspec.structs.replace(
@@ -131,7 +244,25 @@
             for known in self._subtotals.values()
             if now - known.taken < self._cfg.report_expiry_s
         ]
-        return messages.LoadReport((own, *others))
+        covered = [
+            msgspec.structs.replace(
+                cover.load,
+                age_ms=round((now - cover.taken) * 1000),
+            )
+            for cover in self._covers.values()
+            if self._silence(cover.load.owner, now) > 0
+            and now - cover.taken < self._cfg.report_expiry_s
+        ]
+        return messages.LoadReport((own, *others), tuple(covered))
+
+    def untold(self, finished: int) -> bool:
+        """Tell whether requests have ended since the newest own report.
+
+        A small fleet then sends a report to all members at once, so that a
+        mean that falls is known everywhere within a message's time. The first
+        load of a report is enough for that.
+        """
+        return finished != self._told
 
     def estimate(self, now: float) -> Estimate:
         """Return the lower estimate of what other routers have running.
@@ -148,15 +279,36 @@
         known = 0
         trusted: float = 0
         finished: float = 0
-        for subtotal in self._subtotals.values():
-            age = max(0, now - subtotal.taken)
-            running = subtotal.load.running
+        for running, weight, age in self._counts(now):
             known += running
-            trusted += running * self._trust(age)
-            finished += running * min(1, age * self.finish_rate)
-        margin = finished + self._cfg.margin_deviations * math.sqrt(finished)
+            trusted += running * weight
+            unseen_s = self._losses.unseen_s(age)
+            finished += running * weight * min(1, unseen_s * self.finish_rate)
+        margin = _upper(finished, self._cfg.margin_deviations)
         return Estimate(known, max(0, math.floor(trusted - margin)))
 
+    def _counts(
+        self,
+        now: float,
+    ) -> typing.Iterator[tuple[int, float, float]]:
+        """Yield running requests, their weight, and their age in seconds."""
+        for subtotal in self._subtotals.values():
+            age = max(0, now - subtotal.taken)
+            yield subtotal.load.running, self._trust(age), age
+        for cover in self._covers.values():
+            silence = self._silence(cover.load.owner, now)
+            age = max(0, now - cover.taken)
+            if silence and cover.load.running > 0:
+                weight = silence * self._trust(age)
+                yield cover.load.running, weight, age
+
+    def _silence(self, owner: ids.RouterId, now: float) -> float:
+        """Return the share by which an owner's own subtotal is missing."""
+        known = self._subtotals.get(owner)
+        if owner == self._router:
+            return 0
+        return 1 - self._trust(now - known.taken) if known else 1
+
     def _trust(self, age: float) -> float:
         """Return 1 up to half of the expiry, then falling to 0 at it."""
         expiry = self._cfg.report_expiry_s
@@ -169,13 +321,26 @@
         )
         if known and fresh and load.sequence <= known.load.sequence:
             return
-        sent = load.sequence / 1000
-        # The smallest difference seen between the two clocks shows how late
-        # a message is; its own age does not count the time on the way.
-        offset = now - load.age_ms / 1000 - sent
-        earlier = self._offsets.get(load.router, offset)
         if known is not None and not fresh:
-            earlier = offset
-        self._offsets[load.router] = min(earlier, offset)
-        taken = sent + self._offsets[load.router]
+            # The router may have started again with another clock.
+            self._clocks.forget(load.router)
+        taken = self._clocks.taken(load, now)
+        if known is not None and fresh:
+            ended = load.finished - known.load.finished
+            self._losses.learn(ended, now - taken)
         self._subtotals[load.router] = Subtotal(load, taken)
+
+    def _take_cover(self, cover: messages.Covered, now: float) -> None:
+        taken = self._clocks.taken(cover, now)
+        known = self._covers.get(cover.engine)
+        if known is None or known.taken < taken:
+            self._covers[cover.engine] = Cover(cover, taken)
+
+
+def _upper(mean: float, deviations: float) -> float:
+    """Return an upper quantile of a Poisson count.
+
+    The last term is the skew that a count with a small mean has.
+    """
+    skew = deviations**2 * _POISSON_SKEW * min(1, mean)
+    return mean + deviations * math.sqrt(mean) + skew
--- a/papayaloom/process/placement.py
+++ b/papayaloom/process/placement.py
@@ -8,9 +8,13 @@
 import msgspec
 
 from papayaloom import hashing, ids, messages
+from papayaloom.process import rights
 
 _RING_CANDIDATES = 4
 
+# Pause before a request that nobody admits asks its candidates again.
+_ROUND_S = 0.5
+
 
 class Cfg(msgspec.Struct, frozen=True):
     """Weights of the choice.
@@ -317,6 +321,7 @@
     RUN = 'run'
     ASK = 'ask'
     WAIT = 'wait'
+    LATER = 'later'
     REFUSE = 'refuse'
 
 
@@ -326,12 +331,15 @@
     :param ask: the ask to be sent to the owner of its engine, for ``ASK``.
     :param reason: why the engine was chosen, or the path of the setting that
         decided a refusal.
-    :param retry_after_s: when a refused request may try again.
+    :param other: ask the other one of the two first routers in rank.
+    :param retry_after_s: when a refused request may try again, or when the
+        search goes on, for ``LATER``.
     """
 
     action: Next
     ask: messages.Ask | None = None
     reason: str = ''
+    other: bool = False
     retry_after_s: float = 0
 
 
@@ -351,15 +359,29 @@
         """Start with the best candidate."""
         self._cfg = cfg
         self._request = request
+        self._found = found
         self._left = collections.deque(found)
+        self._until: float = 0
         self._denials: list[tuple[int, str]] = []
         self._asked: dict[ids.EngineId, Candidate] = {}
         self._full: dict[tuple[int, int], Candidate] = {}
         self._numbers = numbers
+        self._turned: set[ids.EngineId] = set()
         self._waited = False
 
     def start(self, now: float) -> Step:
         """Return the first ask."""
+        self._until = min(self._request.deadline, now + self._cfg.queue_wait_s)
+        return self._next(now)
+
+    def again(self, now: float) -> Step:
+        """Return the first ask of another round over the candidates."""
+        self._left.extend(self._found)
+        self._denials.clear()
+        self._asked.clear()
+        self._full.clear()
+        self._turned.clear()
+        self._waited = False
         return self._next(now)
 
     def answer(self, answer: messages.Answer, now: float) -> Step:
@@ -369,15 +391,25 @@
         if answer.state == messages.GrantState.QUEUED:
             return Step(Next.WAIT)
         self._denials.append((answer.retry_after_ms, answer.setting))
+        if answer.setting in {rights.SETTLE, rights.PROMISE}:
+            return self.lost(answer.engine, now)
         asked = self._asked.get(answer.engine)
         if asked is not None and answer.cap and not self._waited:
             order = (answer.retry_after_ms, len(self._full))
             self._full[order] = asked
         return self._next(now)
 
-    def lost(self, now: float) -> Step:
-        """Return what to do when no answer came in time."""
-        return self._next(now)
+    def lost(self, engine: ids.EngineId, now: float) -> Step:
+        """Return what to do when the asked router gave no answer, or may not.
+
+        The other one of the two first routers in rank may admit then.
+        """
+        candidate = self._asked.get(engine)
+        if candidate is None or engine in self._turned:
+            return self._next(now)
+        self._turned.add(engine)
+        step = self._ask(candidate, 0, now)
+        return msgspec.structs.replace(step, other=True)
 
     def _next(self, now: float) -> Step:
         if self._left and now < self._request.deadline:
@@ -390,13 +422,16 @@
             self._waited = True
             candidate = self._full.pop(shortest)
             return self._ask(candidate, self._cfg.queue_wait_s, now)
-        return self._refuse()
+        return self._refuse(now)
 
-    def _refuse(self) -> Step:
+    def _refuse(self, now: float) -> Step:
+        if now + _ROUND_S < self._until:
+            return Step(Next.LATER, retry_after_s=_ROUND_S)
         if not self._denials:
             return Step(Next.REFUSE, reason='no owner answered')
         retry_ms, setting = min(self._denials)
-        return Step(Next.REFUSE, None, setting, retry_ms / 1000)
+        seconds = retry_ms / 1000
+        return Step(Next.REFUSE, reason=setting, retry_after_s=seconds)
 
     def _ask(self, candidate: Candidate, wait_s: float, now: float) -> Step:
         request = self._request
--- a/papayaloom/process/ranks.py
+++ b/papayaloom/process/ranks.py
@@ -76,7 +76,9 @@
         present: set[ids.RouterId] = {self._router}
         for member in members:
             alive = member.state in _PRESENT
-            if self._has_left(member):
+            if member.state == messages.MemberState.ALIVE:
+                self._left.discard(member.router)
+            if member.router in self._left:
                 continue
             if alive:
                 present.add(member.router)
@@ -100,6 +102,28 @@
         self._left.add(router)
         self._set_ranked(self._ranked - {router})
 
+    def has_left(self, router: ids.RouterId) -> bool:
+        """Tell whether a router has handed over and stopped."""
+        return router in self._left
+
+    def target(
+        self,
+        engine: ids.EngineId,
+        *,
+        other: bool = False,
+    ) -> ids.RouterId:
+        """Return the router to ask for an engine.
+
+        It is the first in rank, or the second while the first does not answer.
+
+        :param other: return the other one of the two.
+        """
+        order = self.order(engine)
+        turned = order[0] in self._dead_since and (
+            order[-1] not in self._dead_since
+        )
+        return order[-1 if turned != other else 0]
+
     def order(self, engine: ids.EngineId) -> tuple[ids.RouterId, ...]:
         """Return the first and the second in rank for an engine."""
         found = self._orders.get(engine)
@@ -117,11 +141,6 @@
         """Tell whether a router ranks before another, known or not."""
         return hashing.rank(engine, (one, other))[0] == one
 
-    def _has_left(self, member: messages.Member) -> bool:
-        if member.state == messages.MemberState.ALIVE:
-            self._left.discard(member.router)
-        return member.router in self._left
-
     def _set_ranked(self, ranked: frozenset[ids.RouterId]) -> None:
         """Take the ranked members and mend only the orders that change."""
         if ranked == self._ranked:
--- a/papayaloom/process/rights.py
+++ b/papayaloom/process/rights.py
@@ -38,6 +38,8 @@
     setting: str = MULTIPLE
 
 
+# Longest time from a grant until its request runs at the engine.
+_TRANSIT_S = 0.5
 _NOTHING = Right(0, 0, PROMISE)
 _SETTLING = Right(0, 0, SETTLE)
 
@@ -76,19 +78,26 @@
         """Take new times."""
         self._cfg = cfg
 
-    def reported(self, engine: ids.EngineId, running: int, now: float) -> None:
+    def reported(
+        self,
+        engine: ids.EngineId,
+        running: int,
+        taken: float,
+    ) -> None:
         """Note an engine's own count of running requests."""
-        self._reports[engine] = (running, now)
+        newest = self._reports.get(engine, (0, float('-inf')))[1]
+        if taken > newest:
+            self._reports[engine] = (running, taken)
 
     def right(self, engine: ids.EngineId, cap: int, now: float) -> Right:
         """Return the right to an engine.
 
         :param cap: the engine's cap at this moment.
         """
-        if not self._ranks.quorate:
-            return _NOTHING
         given = self._promises.given(engine)
-        if given and given.until > now:
+        promised = given is not None and given.until > now
+        paused = now - self._renewed > self._cfg.settle_s
+        if paused or promised or not self._ranks.quorate:
             return _NOTHING
         order = self._ranks.order(engine)
         if order[0] == self._router:
@@ -96,7 +105,7 @@
         if given is None or given.first != order[0]:
             return self._former(engine, cap, now)
         if order[1] == self._router:
-            return self._second(engine, given, cap, now)
+            return self._headroom(engine, cap, now) or _NOTHING
         return _NOTHING
 
     def handle(
@@ -130,6 +139,11 @@
         """Renew the promises for the engines that this router serves."""
         if now - self._renewed < renew_s:
             return []
+        if now - self._renewed > self._cfg.settle_s:
+            # After a pause, holds may have expired without their requests
+            # having ended: the homes name them again as to a new first.
+            self._first_since.clear()
+            self._handed.clear()
         self._renewed = now
         self._choose(engines)
         wanted: dict[ids.RouterId, list[ids.EngineId]] = {}
@@ -189,7 +203,9 @@
     ) -> Right:
         since = self._first_since.setdefault(engine, now)
         if not self._settled(engine, since, now):
-            return _SETTLING
+            return self._headroom(engine, cap, now) or _SETTLING
+        if not self._released(engine, now):
+            return self._headroom(engine, cap, now) or _NOTHING
         # Until the homes have renewed their holds here, the running requests
         # of a router that handed over are known by its last counts only.
         young = now - since < self._cfg.settle_s
@@ -197,15 +213,23 @@
         if len(order) == 1:
             return Right(cap, handed)
         held = self._promises.held(engine, order[1])
-        if held is None:
-            return _NOTHING
-        if held.until > now:
+        if held and held.until > now:
             return Right(cap, held.foreign + handed)
-        if held.until + self._cfg.confirm_s <= now:
-            return _NOTHING
+        shared = self._headroom(engine, cap, now)
+        if shared or held is None or held.until + self._cfg.confirm_s <= now:
+            return shared or _NOTHING
         reserved = max(held.foreign, cap // 2)
         return Right(cap - reserved, handed, PROMISE)
 
+    def _released(self, engine: ids.EngineId, now: float) -> bool:
+        """Tell whether an earlier first has stopped admitting for sure."""
+        given = self._promises.given(engine)
+        return (
+            given is None
+            or given.until + self._cfg.confirm_s <= now
+            or self._ranks.has_left(given.first)
+        )
+
     def _former(self, engine: ids.EngineId, cap: int, now: float) -> Right:
         """Return the right of a first that a newer router has not asked yet."""
         held = self._promises.newest(engine)
@@ -213,21 +237,31 @@
             return _NOTHING
         return Right(cap, held.foreign)
 
-    def _second(
+    def _headroom(
         self,
         engine: ids.EngineId,
-        given: promises.Given,
         cap: int,
         now: float,
-    ) -> Right:
-        """Return the right of a second whose promise has expired.
+    ) -> Right | None:
+        """Return half of the headroom that the engine's own report shows.
 
-        The first may still have a full cap of running requests from the time
-        of the promise. Only the engine's own report shows how many are left.
+        The first and the second that lost touch both read the engine's count.
+        Each has at most half of what is left to the cap granted after it, the
+        first the larger half, so both together stay within the cap.
         """
-        running, at = self._reports.get(engine, (cap, float('-inf')))
-        lag = self._cfg.report_lag_s
-        if at < given.until + lag or now - at > lag:
-            return _NOTHING
-        limit = min(cap // 2, cap - max(cap - cap // 2, running))
-        return Right(max(limit, 0), 0, PROMISE)
+        running, taken = self._reports.get(engine, (cap, float('-inf')))
+        if now - taken > self._cfg.report_lag_s or not self._knew(engine, now):
+            return None
+        unreported = self._holds.count_since(engine, taken - _TRANSIT_S)
+        left = max(0, cap - running)
+        first = self._ranks.order(engine)[0] == self._router
+        allowed = (left + first) // 2 - unreported
+        limit = self._holds.count(engine) + max(0, allowed)
+        return Right(limit, 0, PROMISE)
+
+    def _knew(self, engine: ids.EngineId, now: float) -> bool:
+        """Tell whether the other router of the two knows of this one."""
+        held = self._promises.newest(engine)
+        if held and held.until + self._cfg.confirm_s > now:
+            return True
+        return self._promises.given(engine) is not None
--- a/papayaloom/process/running.py
+++ b/papayaloom/process/running.py
@@ -28,6 +28,8 @@
         self.renew_s = renew_s
         self._used: dict[int, Used] = {}
         self._renewed = float('-inf')
+        self._released: list[messages.Send] = []
+        self._ended: set[Used] = set()
 
     def __len__(self) -> int:
         """Return how many grants are in use."""
@@ -58,39 +60,39 @@
         used = self._used.pop(ask, None)
         if used is None:
             return []
-        release = messages.Release(
-            ask,
-            used.engine,
-            finished,
-            crashed,
-            tokens,
-        )
-        priority = messages.Priority.ADMISSION
-        return [messages.Send(used.owner, release, priority)]
+        send = _release(ask, used, finished, crashed, tokens)
+        self._released.append(send)
+        self._ended.add(used)
+        return [send]
 
     def tick(
         self,
-        owner: typing.Callable[[ids.EngineId], ids.RouterId | None],
-        members: typing.Container[ids.RouterId],
+        order: typing.Callable[[ids.EngineId], tuple[ids.RouterId, ...]],
         now: float,
     ) -> list[messages.Send]:
-        """Renew the holds; those of a router that is gone move to the next.
+        """Renew the holds and repeat releases.
 
-        :param owner: returns the first in rank for an engine.
-        :param members: routers that are not confirmed gone.
+        Each release is sent twice, because a lost one counts as a running
+        request until the next renewal. The holds of a router that does not
+        rank for its engine any more move to the first.
+
+        :param order: returns the first and the second in rank for an engine.
         """
+        repeated = self._released
+        self._released = []
         if now - self._renewed < self.renew_s:
-            return []
+            return repeated
         self._renewed = now
-        batches: dict[Used, list[int]] = {}
-        for ask, known in list(self._used.items()):
-            used = known
-            if known.owner not in members:
-                heir = owner(known.engine) or known.owner
-                used = Used(heir, known.engine)
-                self._used[ask] = used
-            batches.setdefault(used, []).append(ask)
-        return [
+        batches: dict[Used, list[int]] = {used: [] for used in self._ended}
+        self._ended.clear()
+        for ask, used in list(self._used.items()):
+            ranked = order(used.engine)
+            if used.owner not in ranked:
+                heir = Used(ranked[0], used.engine)
+                self._used[ask] = heir
+                repeated.append(_release(ask, used))
+            batches.setdefault(self._used[ask], []).append(ask)
+        return repeated + [
             messages.Send(
                 held.owner,
                 messages.Hold(held.engine, tuple(asks)),
@@ -98,3 +100,17 @@
             )
             for held, asks in batches.items()
         ]
+
+
+def _release(
+    ask: int,
+    used: Used,
+    finished: bool = False,
+    crashed: bool = False,
+    tokens: int = 0,
+) -> messages.Send:
+    return messages.Send(
+        used.owner,
+        messages.Release(ask, used.engine, finished, crashed, tokens),
+        messages.Priority.ADMISSION,
+    )
