Keep what derives from the member table for one revision

Change: the table keeps its alive, suspect and down entries and its digest until its revision changes; Membership.alive returns the same list until then, and the distribution ranks the watchers only for a new list.

--- a/papayaloom/process/detection.py
+++ b/papayaloom/process/detection.py
@@ -151,11 +151,12 @@
 
     def _regular(self, now: float) -> _Sends:
         me = self._view.me.router
-        candidates = {
-            router
-            for router, entry in self._view.table.entries.items()
-            if router != me and (entry.is_alive or not entry.known)
+        table = self._view.table
+        candidates = {entry.member.router for entry in table.alive()}
+        candidates |= {
+            entry.member.router for entry in table.down() if not entry.known
         }
+        candidates.discard(me)
         target = self._probes.next_target(candidates)
         sends = self._ping(target, now, accuses=True) if target else []
         self._next.probed += 1
@@ -233,7 +234,7 @@
         """Probe the members again that this router suspects itself."""
         return [
             send
-            for entry in self._view.table.alive()
+            for entry in self._view.table.suspects()
             if self._view.me.router in entry.confirmers
             for send in self._ping(entry.member.router, now, accuses=False)
         ]
@@ -251,9 +252,8 @@
 
 def _excuse(table: members.Table, gap: float) -> None:
     """Give suspects the time back that this process was paused."""
-    for entry in table.entries.values():
-        if entry.member.state is _State.SUSPECT:
-            entry.since += gap
+    for entry in table.suspects():
+        entry.since += gap
 
 
 def _send(to: ids.RouterId, message: messages.Message) -> messages.Send:
--- a/papayaloom/process/dissemination.py
+++ b/papayaloom/process/dissemination.py
@@ -98,17 +98,24 @@
         self._seen = heads.Heads()
         self._transfer: full_state.Transfer | None = None
         self._start: _Start | None = None
+        self._watchers: tuple[
+            typing.Sequence[messages.Member], list[ids.RouterId]
+        ] = ((), [])
 
     def configure(self, cfg: Cfg) -> None:
         """Take new settings; the chunk size stays until the next start."""
         self._cfg = cfg
+        self._watchers = ((), [])
 
     def is_watching(self) -> bool:
         """Return whether this router holds a watch on the store.
 
         Routers that disagree on the members cost more calls, nothing else.
         """
-        return self._me in watchers(self._peers(), self._cfg.watchers)
+        peers = self._peers()
+        if peers is not self._watchers[0]:
+            self._watchers = (peers, watchers(peers, self._cfg.watchers))
+        return self._me in self._watchers[1]
 
     def from_store(self, records: typing.Iterable[bytes], now: float) -> _Sends:
         """Take changes that were read from the store, in order.
--- a/papayaloom/process/members.py
+++ b/papayaloom/process/members.py
@@ -47,14 +47,26 @@
         self.entries: dict[ids.RouterId, Entry] = {}
         # Grows with every change, so that readers can keep derived orders.
         self.revision = 0
+        # Groups of one revision. Looking at every entry at every tick took
+        # a third of the processor time at 360 members.
+        self._groups = _Groups([], [], [], -1)
+        self._digest: tuple[int, tuple[int, ...]] = (-1, ())
 
     def get(self, router: ids.RouterId) -> Entry | None:
         """Return the entry of a member, or nothing."""
         return self.entries.get(router)
 
     def alive(self) -> list[Entry]:
-        """Return the members that count as alive."""
-        return [entry for entry in self.entries.values() if entry.is_alive]
+        """Return the members that count as alive; don't change the list."""
+        return self._grouped().alive
+
+    def suspects(self) -> list[Entry]:
+        """Return the suspects; don't change the list."""
+        return self._grouped().suspects
+
+    def down(self) -> list[Entry]:
+        """Return the dead and the unheard; don't change the list."""
+        return self._grouped().down
 
     def seed(self, member: messages.Member, now: float) -> None:
         """Add a host of the host list that no router has heard of."""
@@ -63,6 +75,7 @@
                 member, incarnation=0, state=_State.ALIVE
             )
             self.entries[member.router] = Entry(seeded, now, known=False)
+            self.revision += 1
 
     def merge(self, update: messages.Member, now: float) -> bool:
         """Take an update when it is newer than what is known.
@@ -101,12 +114,15 @@
         Suspicions and the dead are left out: the first are short-lived, and
         the second are forgotten at different times.
         """
+        if self._digest[0] == self.revision:
+            return self._digest[1]
         buckets = [0 for _ in range(BUCKETS)]
         for router, entry in self.entries.items():
             if entry.is_alive:
                 text = f'{router} {entry.member.incarnation} {entry.leaving}'
                 buckets[bucket(router)] ^= xxhash.xxh32_intdigest(text.encode())
-        return tuple(buckets)
+        self._digest = (self.revision, tuple(buckets))
+        return self._digest[1]
 
     def in_buckets(
         self, buckets: typing.Collection[int]
@@ -118,6 +134,17 @@
             if entry.known and bucket(router) in buckets
         )
 
+    def _grouped(self) -> '_Groups':
+        if self._groups.revision != self.revision:
+            groups = _Groups([], [], [], self.revision)
+            for entry in self.entries.values():
+                group = groups.alive if entry.is_alive else groups.down
+                group.append(entry)
+                if entry.member.state is _State.SUSPECT:
+                    groups.suspects.append(entry)
+            self._groups = groups
+        return self._groups
+
     def _add(self, update: messages.Member, now: float) -> bool:
         # An update without addresses is of no use for an unknown member; its
         # full entry follows with the comparison of views.
@@ -130,6 +157,13 @@
         return True
 
 
+class _Groups(msgspec.Struct, frozen=True):
+    alive: list[Entry]
+    suspects: list[Entry]
+    down: list[Entry]
+    revision: int
+
+
 def bucket(router: ids.RouterId) -> int:
     """Return the bucket of a name in the comparison of views."""
     return xxhash.xxh32_intdigest(router.encode()) % BUCKETS
--- a/papayaloom/process/membership.py
+++ b/papayaloom/process/membership.py
@@ -82,6 +82,7 @@
         self._compare = comparison.Comparison(self.table, rng)
         self._ranked: dict[str, list[ids.RouterId]] = {}
         self._ranked_at = -1
+        self._alive: dict[bool, tuple[int, list[messages.Member]]] = {}
         self._forget_at = float('-inf')
 
     def subscribe(
@@ -159,15 +160,20 @@
     def alive(self, *, leaving: bool = True) -> list[messages.Member]:
         """Return the members that count as alive, this router included.
 
-        Suspects count as alive.
+        Suspects count as alive. The same list is returned until something
+        changes, so that callers can tell a change; don't change the list.
 
         :param leaving: include those that announced a stop.
         """
-        return [
-            entry.member
-            for entry in self.table.alive()
-            if leaving or not entry.leaving
-        ]
+        revision, members_alive = self._alive.get(leaving, (-1, []))
+        if revision != self.table.revision:
+            members_alive = [
+                entry.member
+                for entry in self.table.alive()
+                if leaving or not entry.leaving
+            ]
+            self._alive[leaving] = (self.table.revision, members_alive)
+        return members_alive
 
     def ranked(self, key: str, count: int = 2) -> list[ids.RouterId]:
         """Return the first members in rank for a key that are not gone.
@@ -250,7 +256,8 @@
     now: float,
 ) -> None:
     """Confirm deaths and forget hosts that are gone for long."""
-    for router, entry in tuple(table.entries.items()):
+    for entry in table.down():
+        router = entry.member.router
         off_list = listed is not None and router not in listed
         if entry.known:
             _age(table, entry, off_list, cfg, now)
@@ -265,10 +272,10 @@
     cfg: Cfg,
     now: float,
 ) -> None:
-    dead_s = 0 if entry.is_alive else now - entry.since
+    dead_s = now - entry.since
     if dead_s > cfg.forget_s:
         table.remove(entry.member.router)
-    elif not entry.is_alive and (off_list or dead_s > cfg.confirm_s):
+    elif off_list or dead_s > cfg.confirm_s:
         table.confirm_gone(entry)
 
 
--- a/papayaloom/process/suspicion.py
+++ b/papayaloom/process/suspicion.py
@@ -41,11 +41,7 @@
     table: members.Table, base_s: float, now: float
 ) -> list[members.Entry]:
     """Return the suspects whose time is over."""
-    suspects = [
-        entry
-        for entry in table.entries.values()
-        if entry.member.state is _State.SUSPECT and entry.known
-    ]
+    suspects = table.suspects()
     if not suspects:
         return []
     size, enough = len(table.alive()), needed(table)
--- a/papayaloom/process/view.py
+++ b/papayaloom/process/view.py
@@ -88,26 +88,27 @@
     def others(self) -> list[ids.RouterId]:
         """Return the other members that count as alive."""
         return [
-            router
-            for router, entry in self.table.entries.items()
-            if entry.is_alive and router != self.me.router
+            entry.member.router
+            for entry in self.table.alive()
+            if entry.member.router != self.me.router
         ]
 
     def random(self, count: int) -> list[ids.RouterId]:
         """Return some random members; hosts of the list while alone."""
-        others = self.others() or [
-            router for router in self.table.entries if router != self.me.router
-        ]
-        return self._rng.sample(others, min(count, len(others)))
+        alive = self.table.alive()
+        known = alive if len(alive) > 1 else list(self.table.entries.values())
+        # One more, because this router itself may be among them.
+        sample = self._rng.sample(known, min(count + 1, len(known)))
+        others = [entry.member.router for entry in sample]
+        return [name for name in others if name != self.me.router][:count]
 
     def unreachable(self) -> list[ids.RouterId]:
         """Return the dead members that may come back."""
         return [
-            router
-            for router, entry in self.table.entries.items()
+            entry.member.router
+            for entry in self.table.down()
             if entry.known
-            and not entry.is_alive
-            and (self.listed is None or router in self.listed)
+            and (self.listed is None or entry.member.router in self.listed)
         ]
 
     def _is_asked(self) -> bool:
