Acknowledge recorded outcomes and keep a whole short answer in a claim

Cause: request/desk.py waits until the outcome of a call is committed, and gives a repeat the answer with its content type; the ledger told neither. Change: the responsible router answers an outcome, which ends its repetition and gives the caller a Recorded; ledger_record.pack and unpack keep content type, a digest of the request and the body up to 512 bytes. An outcome now waits 0.25 s instead of 1 s for other calls, because the answer waits for it. Conclusion: an answered call is a recorded call unless the store is away.

--- a/features/machines/ledger_machine.py
+++ b/features/machines/ledger_machine.py
@@ -97,7 +97,7 @@
                 self.mail.append((name, output.to, output.message))
             elif isinstance(output, ledger.Decided):
                 self.decided(name, output)
-            else:
+            elif not isinstance(output, ledger.Recorded):
                 self.effects.append((name, self.boots[name], output))
 
     def decided(self, name, decision):
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -57,6 +57,7 @@
     for output in outputs:
         if isinstance(output, ledger.Decided):
             context.answers[output.number] = output.answer
+        if isinstance(output, (ledger.Decided, ledger.Recorded)):
             continue
         size = len(getattr(output, 'content', b''))
         context.largest = max(context.largest, size)
--- a/papayaloom/process/ledger.py
+++ b/papayaloom/process/ledger.py
@@ -53,7 +53,13 @@
     answer: messages.Claimed
 
 
-Output = messages.Send | ledger_writer.Effect | Decided
+class Recorded(msgspec.Struct, frozen=True):
+    """The outcome of a call that was claimed here is recorded."""
+
+    number: int
+
+
+Output = messages.Send | ledger_writer.Effect | Decided | Recorded
 
 
 class Dump(msgspec.Struct, frozen=True):
@@ -78,6 +84,7 @@
 
 class _Repeat(msgspec.Struct, frozen=True):
     due: float
+    number: int
     outcome: messages.Outcome
 
 
@@ -130,10 +137,6 @@
             if router == self._me
         )
 
-    def responsible(self, shard: int) -> ids.RouterId:
-        """Return the router that batches the writes of a shard."""
-        return self._responsible[shard]
-
     def claim(
         self,
         number: int,
@@ -154,7 +157,7 @@
         )
         pending = _Pending(location, ask, now + self._cfg.forward_timeout_s)
         self._pending[wire] = pending
-        responsible = self.responsible(location.shard)
+        responsible = self._responsible[location.shard]
         if responsible == self._me:
             return self._ask_here(pending, now)
         forwarded = messages.Claim(
@@ -172,6 +175,10 @@
     ) -> list[Output]:
         """Record what became of a call that was granted.
 
+        A :class:`Recorded` follows now or later. It does not when the store or
+        the responsible router is out of reach, so a caller waits for it only
+        for a limited time.
+
         :param number: the number that it was claimed with.
         :param state: what is known of the call, not ``CLAIMED``.
         :param content: the answer's body; what fits is kept.
@@ -197,7 +204,7 @@
             return []
         written: list[ledger_writer.Output] = []
         if isinstance(message, messages.Outcome):
-            parts = _parts(message)
+            parts = _parts(sender, message)
             if parts:
                 written += self._writer.record(*parts, now)
         elif isinstance(message, messages.Claim):
@@ -259,10 +266,7 @@
     def _decide(self, answer: messages.Claimed, now: float) -> list[Output]:
         pending = self._pending.pop(answer.ask, None)
         if pending is None:
-            decided, granted = self._decided.get(answer.ask, (None, True))
-            if decided is None or granted or not answer.granted:
-                return []
-            return self._record(decided, ledger_record.State.NOT_RUN, now)
+            return self._late(answer, now)
         if answer.granted and pending.ask.until <= now:
             # A paused router may have slept past the life of the record.
             answer = ledger_slot.unknown(pending.ask).answer
@@ -275,6 +279,20 @@
             outputs += self._record(pending, ledger_record.State.NOT_RUN, now)
         return outputs
 
+    def _late(self, answer: messages.Claimed, now: float) -> list[Output]:
+        pending, granted = self._decided.get(answer.ask, (None, True))
+        if pending is None or not answer.known:
+            return []
+        if answer.granted:
+            not_run = ledger_record.State.NOT_RUN
+            return [] if granted else self._record(pending, not_run, now)
+        if answer.state == ledger_record.State.CLAIMED.value:
+            return []
+        self._repeats = [
+            repeat for repeat in self._repeats if repeat.number != answer.ask
+        ]
+        return [Recorded(answer.ask - self._base)]
+
     def _record(
         self,
         pending: _Pending,
@@ -296,11 +314,13 @@
         if pending.local:
             return self.handle(self._me, outcome, now)
         for age_s in _REPEATS_S:
-            self._repeats.append(_Repeat(now + age_s, outcome))
+            self._repeats.append(
+                _Repeat(now + age_s, pending.ask.number, outcome)
+            )
         return self._deliver(outcome, now)
 
     def _deliver(self, outcome: messages.Outcome, now: float) -> list[Output]:
-        responsible = self.responsible(outcome.shard)
+        responsible = self._responsible[outcome.shard]
         if responsible == self._me:
             return self.handle(self._me, outcome, now)
         return [_send(responsible, outcome)]
@@ -322,17 +342,21 @@
 
 
 def _parts(
+    sender: ids.RouterId,
     outcome: messages.Outcome,
-) -> tuple[ledger_record.Location, ledger_record.Claim] | None:
+) -> tuple[ledger_record.Location, ledger_slot.Outcome] | None:
     location = ledger_record.Location(outcome.shard, outcome.slot, outcome.key)
     try:
         state = ledger_record.State(outcome.state)
+        number = int(outcome.attempt, 16)
     except ValueError:
         return None
     claim = ledger_record.Claim(
         outcome.key, outcome.attempt, state, outcome.status, outcome.content
     )
-    return (location, claim) if ledger_record.valid(location, claim) else None
+    if not ledger_record.valid(location, claim):
+        return None
+    return location, ledger_slot.Outcome(sender, number, claim)
 
 
 def _send(to: ids.RouterId, message: messages.Message) -> messages.Send:
--- a/papayaloom/process/ledger_record.py
+++ b/papayaloom/process/ledger_record.py
@@ -34,6 +34,7 @@
 _HASH_BYTES = 16
 _MAX_ATTEMPT = 64
 _UUID_VERSION = 7
+_MAX_TYPE = 128
 _TIME_BITS = 80
 
 
@@ -61,6 +62,19 @@
     content: bytes = b''
 
 
+class Reply(msgspec.Struct, frozen=True, array_like=True):
+    """Answer of a call as the content of its claim.
+
+    :param digest: hash of the request, to notice a key used for another one.
+    :param complete: ``body`` is the whole body.
+    """
+
+    digest: str = ''
+    content_type: str = ''
+    complete: bool = True
+    body: bytes = b''
+
+
 class Location(msgspec.Struct, frozen=True):
     """Where the claim of a call is recorded."""
 
@@ -155,6 +169,23 @@
     return known_shard and location.slot >= 0 and _fits(claim)
 
 
+def pack(digest: str, content_type: str, body: bytes) -> bytes:
+    """Return an answer as the content of a claim; a long body is left out."""
+    whole = msgspec.msgpack.encode(Reply(digest, content_type, True, body))
+    if len(whole) <= MAX_CONTENT:
+        return whole
+    short = Reply(digest, content_type[:_MAX_TYPE], False)
+    return msgspec.msgpack.encode(short)
+
+
+def unpack(content: bytes) -> Reply:
+    """Return an answer from the content of a claim, incomplete if unknown."""
+    try:
+        return msgspec.msgpack.decode(content, type=Reply)
+    except msgspec.MsgspecError:
+        return Reply(complete=False)
+
+
 def merge(recorded: Claim | None, news: Claim) -> Claim:
     """Return the claim that stands after an outcome became known.
 
--- a/papayaloom/process/ledger_slot.py
+++ b/papayaloom/process/ledger_slot.py
@@ -29,6 +29,18 @@
     answer: messages.Claimed
 
 
+class Outcome(msgspec.Struct, frozen=True):
+    """What became of a claimed call, until it is recorded.
+
+    :param origin: the router that owns the attempt.
+    :param number: its number of the call.
+    """
+
+    origin: ids.RouterId
+    number: int
+    claim: ledger_record.Claim
+
+
 class Proposal(msgspec.Struct, frozen=True):
     """A record that is being written.
 
@@ -39,6 +51,14 @@
     outcomes: int
 
 
+def recorded(outcome: Outcome) -> Answered:
+    """Return the answer that an outcome is recorded."""
+    claim = outcome.claim
+    ask = Ask(outcome.origin, outcome.number, claim.key, claim.attempt, 0)
+    answer = messages.Claimed(ask.number, False, True, claim.state.value)
+    return Answered(ask, answer)
+
+
 def unknown(ask: Ask) -> Answered:
     """Return the decision on a call whose claim is not known to stand."""
     return Answered(ask, messages.Claimed(ask.number, False, False))
@@ -63,13 +83,13 @@
         self.retry_at = float('-inf')
         self.asks: list[Ask] = []
         self._claims: dict[bytes, ledger_record.Claim] = {}
-        self._outcomes: list[ledger_record.Claim] = []
+        self.outcomes: list[Outcome] = []
         self._outcomes_at = float('inf')
 
     @property
     def idle(self) -> bool:
         """Whether nothing waits for this record."""
-        return not (self.asks or self._outcomes or self.operation)
+        return not (self.asks or self.outcomes or self.operation)
 
     @property
     def full(self) -> bool:
@@ -89,11 +109,10 @@
         if (ask.origin, ask.attempt) not in waiting:
             self.asks.append(ask)
 
-    def record(self, outcome: ledger_record.Claim, due: float) -> None:
+    def record(self, outcome: Outcome, due: float) -> None:
         """Let an outcome wait until some time for calls to join it."""
-        known = self._claims.get(outcome.key)
-        if known is None or ledger_record.merge(known, outcome) != known:
-            self._outcomes.append(outcome)
+        if outcome not in self.outcomes:
+            self.outcomes.append(outcome)
             self._outcomes_at = min(self._outcomes_at, due)
 
     def load(self, content: bytes | None, revision: int, now: float) -> None:
@@ -106,18 +125,28 @@
         self.must_read = False
         self.read_at = now
 
-    def commit(self, proposal: Proposal, revision: int, now: float) -> None:
-        """Take over a record that was written."""
+    def commit(
+        self,
+        proposal: Proposal,
+        revision: int,
+        now: float,
+    ) -> list[Answered]:
+        """Take over a record that was written.
+
+        :returns: the answers to the outcomes in it.
+        """
         self._claims = proposal.claims
         self.revision = revision
         self.read_at = now
-        self.settle_outcomes(proposal.outcomes)
+        return self.settle_outcomes(proposal.outcomes)
 
-    def settle_outcomes(self, count: int) -> None:
-        """Forget outcomes that are recorded."""
-        self._outcomes = self._outcomes[count:]
-        if not self._outcomes:
+    def settle_outcomes(self, count: int) -> list[Answered]:
+        """Answer and forget the first outcomes; they are recorded."""
+        settled = self.outcomes[:count]
+        self.outcomes = self.outcomes[count:]
+        if not self.outcomes:
             self._outcomes_at = float('inf')
+        return [recorded(outcome) for outcome in settled]
 
     def expire(self, now: float) -> list[Ask]:
         """Return the calls that waited too long, and forget them."""
@@ -148,25 +177,27 @@
     def propose(self) -> Proposal | None:
         """Return the record with the waiting calls and outcomes, if it differs.
 
+        Without a difference the waiting outcomes are recorded already.
+
         Of several attempts at one key, the first one is proposed; the others
         are decided when it stands.
         """
         claims = dict(self._claims)
         answers = sum(bool(claim.content) for claim in claims.values())
-        for outcome in self._outcomes:
+        for outcome in self.outcomes:
+            news = outcome.claim
             if answers >= ledger_record.MAX_ANSWERS:
-                outcome = msgspec.structs.replace(outcome, content=b'')
-            merged = ledger_record.merge(claims.get(outcome.key), outcome)
-            answers += bool(outcome.content)
-            claims[outcome.key] = merged
+                news = msgspec.structs.replace(news, content=b'')
+            answers += bool(news.content)
+            merged = ledger_record.merge(claims.get(news.key), news)
+            claims[news.key] = merged
         for ask in self.asks:
-            recorded = claims.get(ask.key)
-            if recorded is None or _may_take_over(recorded, ask):
+            recorded_claim = claims.get(ask.key)
+            if recorded_claim is None or _may_take_over(recorded_claim, ask):
                 claims[ask.key] = ledger_record.Claim(ask.key, ask.attempt)
-        if claims == self._claims:
-            self.settle_outcomes(len(self._outcomes))
+        if claims == self._claims and self.read_at > float('-inf'):
             return None
-        return Proposal(claims, len(self._outcomes))
+        return Proposal(claims, len(self.outcomes))
 
     def _is_stale(
         self,
--- a/papayaloom/process/ledger_writer.py
+++ b/papayaloom/process/ledger_writer.py
@@ -30,7 +30,7 @@
     """
 
     writes_per_s: float = 4
-    outcome_delay_s: float = 1
+    outcome_delay_s: float = 0.25
     retry_s: float = 0.25
     refresh_s: float = 2
     sweep_s: float = 100
@@ -191,7 +191,7 @@
     def record(
         self,
         location: ledger_record.Location,
-        outcome: ledger_record.Claim,
+        outcome: ledger_slot.Outcome,
         now: float,
     ) -> list[Output]:
         """Record the outcome of a call."""
@@ -219,9 +219,10 @@
             slot.retry_at = now + self._cfg.retry_s
             return []
         if isinstance(stored, Swapped):
+            answered: list[Output] = []
             if proposal is not None:
-                slot.commit(proposal, stored.revision, now)
-            return self._work(slot, now)
+                answered += slot.commit(proposal, stored.revision, now)
+            return answered + self._work(slot, now)
         self.counts.conflicts += isinstance(stored, Conflict)
         return self._load(slot, stored, now)
 
@@ -292,7 +293,7 @@
     def _write(self, slot: ledger_slot.Slot, now: float) -> list[Output]:
         proposal = slot.propose()
         if proposal is None:
-            return []
+            return list(slot.settle_outcomes(len(slot.outcomes)))
         self._write_at[slot.shard] = now + 1 / self._cfg.writes_per_s
         content = ledger_record.encode(proposal.claims)
         self.counts.writes += 1
--- a/papayaloom/standins/completion.py
+++ b/papayaloom/standins/completion.py
@@ -118,7 +118,7 @@
 def question(req: Request) -> str:
     """Return the last message of the user."""
     asked = [turn.content for turn in req.messages if turn.role == 'user']
-    return asked[-1] if asked else ''
+    return str(asked[-1]) if asked else ''
 
 
 def prompt_bytes(req: Request) -> bytes:
