Follow the admission rounds and wait for recorded outcomes

Before, a repeat through another router within a second of the answer got 409 although the call had run. Change: pending searches follow the new steps; the desk waits up to 1.5 s for the recorded outcome before it answers a call. Conclusion: an immediate repeat gets its answer, at up to 1.5 s for the caller.

--- a/papayaloom/process/actors.py
+++ b/papayaloom/process/actors.py
@@ -16,7 +16,8 @@
 from papayaloom.process import admitting, claims, core, ledger_writer, outbox
 
 _log = structlog.get_logger('router')
-Outcome = result.Result[typing.Any, errors.Problem]
+# Nothing says that the outcome of a call is recorded.
+Outcome = result.Result[typing.Any, errors.Problem] | None
 
 
 class Run(msgspec.Struct, frozen=True):
--- a/papayaloom/process/admitting.py
+++ b/papayaloom/process/admitting.py
@@ -33,7 +33,8 @@
     """What a search needs from the parts around it.
 
     :param home_of: home router of a chat in this region.
-    :param owner_of: router to ask for admission to an engine.
+    :param owners_of: routers to ask for admission to an engine, first the one
+        that should admit; empty for an unknown engine.
     :param home: home side of a model, nothing for an unknown model.
     :param usable: engines that are neither ejected nor kept apart for a
         request that may have crashed an upstream.
@@ -41,7 +42,7 @@
     """
 
     home_of: typing.Callable[[ids.ChatId], ids.RouterId | None]
-    owner_of: typing.Callable[[ids.EngineId], ids.RouterId | None]
+    owners_of: typing.Callable[[ids.EngineId], tuple[ids.RouterId, ...]]
     home: typing.Callable[[ids.ModelId], placement.Home | None]
     usable: typing.Callable[[desk.ChatAsk, ids.EngineId], bool]
     url: typing.Callable[[ids.EngineId], str]
@@ -220,9 +221,12 @@
                 continue
             if pending.search is None:
                 self._start(ticket, pending, effects, now)
+            elif pending.current is None:
+                step = pending.search.again(now)
+                self._step(ticket, pending, step, effects, now)
             else:
                 self._withdraw(pending, effects)
-                step = pending.search.lost(now)
+                step = pending.search.lost(pending.current.engine, now)
                 self._step(ticket, pending, step, effects, now)
         return effects
 
@@ -260,10 +264,12 @@
         now: float,
     ) -> None:
         if step.ask is None:
-            self._refuse(ticket, step, effects)
+            pending.current = None
+            pending.until = now + step.retry_after_s
+            if step.action is not placement.Next.LATER:
+                self._refuse(ticket, step, effects)
             return
-        owner = self._lookup.owner_of(step.ask.engine)
-        pending.owner = owner or self._router
+        pending.owner = self._owner(pending.owner, step)
         pending.current = step.ask
         pending.reason = step.reason
         pending.until = now + self._cfg.answer_wait_s + step.ask.wait_ms / 1000
@@ -276,6 +282,16 @@
             ),
         )
 
+    def _owner(self, asked: ids.RouterId, step: placement.Step) -> ids.RouterId:
+        """Return the router to ask, another one than before if wanted."""
+        engine = step.ask.engine if step.ask else ids.EngineId('')
+        owners = [
+            one
+            for one in self._lookup.owners_of(engine)
+            if not step.other or one != asked
+        ]
+        return owners[0] if owners else self._router
+
     def _run(
         self,
         ticket: int,
--- a/papayaloom/process/chats.py
+++ b/papayaloom/process/chats.py
@@ -95,7 +95,7 @@
             me,
             admitting.Lookup(
                 self.home_of,
-                self.owner_of,
+                self.owners_of,
                 home,
                 self._usable,
                 self.url_of,
@@ -244,7 +244,7 @@
             parts.home.tick(now)
         effects.sends.extend(self.shares.tick(now))
         effects.sends.extend(
-            self.running.tick(self.owner_of, self._grid.present(), now),
+            self.running.tick(self.owners_of, now),
         )
         self.suspects.quarantine.tick(now)
         return effects
@@ -254,29 +254,40 @@
         engine: ids.EngineId,
         state: engine_port.State,
         events: engine_port.CacheEvents,
+        taken: float,
         now: float,
     ) -> None:
-        """Take an engine's own report and its cache events."""
+        """Take an engine's own report and its cache events.
+
+        :param taken: when the engine was asked.
+        """
         parts = self._by_engine.get(engine)
         if parts is not None:
-            parts.owner.engine_report(engine, state.running, now)
+            parts.owner.engine_report(engine, state.running, taken, now)
             parts.cache_events(engine, events.events, now)
 
     def home_of(self, chat: ids.ChatId) -> ids.RouterId | None:
         """Return the home router of a chat."""
         return hashing.first(chat, self._grid.routers())
 
-    def owner_of(self, engine: ids.EngineId) -> ids.RouterId | None:
-        """Return the router to ask for admission to an engine.
+    def owners_of(
+        self,
+        engine: ids.EngineId,
+    ) -> tuple[ids.RouterId, ...]:
+        """Return the first and the second in rank, a serving one first.
 
-        The second in rank is asked while the first does not answer probes.
+        This router stands in for the owners of an unknown engine.
         """
         parts = self._by_engine.get(engine)
         if parts is None:
-            return None
-        order = parts.owner.ranks.order(engine)
-        serving = set(self._grid.routers()) | {self._me}
-        return next((one for one in order if one in serving), order[0])
+            return (self._me,)
+        serving = {*self._grid.routers(), self._me}
+        return tuple(
+            sorted(
+                parts.owner.ranks.order(engine),
+                key=lambda one: one not in serving,
+            ),
+        )
 
     def ranked_engines(self) -> list[tuple[ids.EngineId, str]]:
         """Return the engines that this router reads, with their URLs.
@@ -385,6 +396,7 @@
             and not self.suspects.quarantine.explained((used.ask.fingerprint,))
         ):
             parts.ejection.failed(used.engine, now)
+            parts.home.failed(used.engine, now)
 
     def _remember(self, used: Running, tokens: int, now: float) -> _Sends:
         parts = self._by_engine.get(used.engine)
--- a/papayaloom/process/claims.py
+++ b/papayaloom/process/claims.py
@@ -29,10 +29,10 @@
 
 
 class Settled(msgspec.Struct, frozen=True):
-    """Outcome of a claim."""
+    """Outcome of a claim, or nothing when the outcome of a call is recorded."""
 
     ticket: int
-    outcome: Found
+    outcome: Found | None
 
 
 class Effects(msgspec.Struct):
@@ -155,6 +155,8 @@
                 effects.sends.append(output)
             elif isinstance(output, ledger.Decided):
                 effects.settled.append(self._settle(output))
+            elif isinstance(output, ledger.Recorded):
+                effects.settled.append(Settled(output.number, None))
             else:
                 effects.store.append(output)
         return effects
--- a/papayaloom/process/core.py
+++ b/papayaloom/process/core.py
@@ -203,10 +203,14 @@
         engine: ids.EngineId,
         state: engine_port.State,
         events: engine_port.CacheEvents,
+        taken: float,
         now: float,
     ) -> admitting.Effects:
-        """Take an engine's own report."""
-        self.chats.engine_read(engine, state, events, now)
+        """Take an engine's own report.
+
+        :param taken: when the engine was asked.
+        """
+        self.chats.engine_read(engine, state, events, taken, now)
         effects = admitting.Effects()
         if state.leaving:
             effects.sends.extend(self._note_leaving(engine, now))
--- a/papayaloom/process/office.py
+++ b/papayaloom/process/office.py
@@ -16,6 +16,8 @@
 
 # Time for the actor to give up a search whose deadline has passed.
 _GRACE_S = 1
+# Longest wait for the batched write of an outcome before the caller's answer.
+_RECORD_S = 1.5
 
 
 class Office:
@@ -58,12 +60,13 @@
     ) -> result.Result[desk.Grant, errors.Problem]:
         """Choose an engine and wait for its owner's grant."""
         ticket = next(self._tickets)
-        outcome = self._begin(
-            ticket,
-            lambda decisions, now: decisions.admit(ask, ticket, now),
-            ask.deadline_s,
-        )
-        if outcome is None:
+        try:
+            outcome = self._begin(
+                ticket,
+                lambda decisions, now: decisions.admit(ask, ticket, now),
+                ask.deadline_s + _GRACE_S,
+            )
+        except pykka.Timeout:
             self._run(lambda decisions, now: decisions.abandon(ticket, now))
             return result.Err(
                 errors.Problem('no engine before the deadline', 504),
@@ -116,28 +119,34 @@
     ) -> result.Result[desk.Claim, errors.Problem]:
         """Claim a call's key and wait until the claim is committed."""
         ticket = next(self._tickets)
-        outcome = self._begin(
-            ticket,
-            lambda decisions, now: decisions.claim(
-                ask, ticket, now, self._clock.unix_ms()
-            ),
-            ask.deadline_s,
-        )
-        if outcome is None:
+        try:
+            outcome: result.Result[desk.Claim, errors.Problem] = self._begin(
+                ticket,
+                lambda decisions, now: decisions.claim(
+                    ask, ticket, now, self._clock.unix_ms()
+                ),
+                ask.deadline_s + _GRACE_S,
+            )
+        except pykka.Timeout:
             return result.Err(
                 errors.Problem('no claim before the deadline', 504),
             )
         return outcome
 
     def record(self, claim: desk.Claim, outcome: desk.CallOutcome) -> bool:
-        """Hand the outcome of a granted claim to the ledger.
-
-        A claim without an outcome in the store answers repeats with "may
-        have run", so nothing needs to wait for the batched write.
-        """
-        self._run(
-            lambda decisions, now: decisions.record(claim.ask, outcome, now),
-        )
+        """Record the outcome of a granted claim, and wait for it a little."""
+        try:
+            self._begin(
+                claim.ask,
+                lambda decisions, now: decisions.record(
+                    claim.ask, outcome, now
+                ),
+                _RECORD_S,
+            )
+        except pykka.Timeout:
+            # The claim stands without an outcome: a repeat gets "may have
+            # run" until the outcome is written.
+            return False
         return True
 
     def may_retry(self, upstream: str, target: str) -> bool:
@@ -174,15 +183,15 @@
         self,
         ticket: int,
         step: typing.Callable[[core.Core, float], admitting.Effects],
-        deadline_s: float,
+        wait_s: float,
     ) -> typing.Any:
-        """Start a step and wait for its outcome; nothing when it is late."""
+        """Start a step and wait for its outcome.
+
+        :raises pykka.Timeout: it did not come in time.
+        """
         fut: pykka.Future[actors.Outcome] = pykka.ThreadingFuture()
         self._actor.tell(actors.Begin(ticket, fut, step))
-        try:
-            return fut.get(timeout=deadline_s + _GRACE_S)
-        except pykka.Timeout:
-            return None
+        return fut.get(timeout=wait_s)
 
     def _run(
         self,
--- a/papayaloom/process/polling.py
+++ b/papayaloom/process/polling.py
@@ -11,7 +11,7 @@
 import pykka
 import structlog
 
-from papayaloom import errors, ids
+from papayaloom import clock, errors, ids
 from papayaloom.ports import engine, hosts, kv
 from papayaloom.process import actors, admitting, core, current, dissemination
 from papayaloom.version import change, log, snapshot
@@ -81,12 +81,17 @@
     return Poller('hosts', read)
 
 
-def engine_poller(port: engine.Engines, actor: Actor) -> Poller:
+def engine_poller(
+    port: engine.Engines,
+    actor: Actor,
+    source: clock.Clock,
+) -> Poller:
     """Return the reader of the engines that this router may admit to."""
     pool = concurrent.futures.ThreadPoolExecutor(_ENGINE_READERS)
     sequences: dict[ids.EngineId, tuple[str, int]] = {}
 
     def read_one(name: ids.EngineId, url: str) -> None:
+        taken = source.monotonic()
         try:
             state = port.state(url)
         except errors.PapayaloomError:
@@ -102,7 +107,7 @@
         _tell(
             actor,
             lambda decisions, now: decisions.engine_read(
-                name, state, events, now
+                name, state, events, taken, now
             ),
         )
 
--- a/papayaloom/process/router.py
+++ b/papayaloom/process/router.py
@@ -88,7 +88,7 @@
         reader = polling.SettingsReader(store, self._current, self._actor)
         self._pollers = (
             polling.host_poller(hosts.HttpHosts(file.hosts_url), self._actor),
-            polling.engine_poller(engines, self._actor),
+            polling.engine_poller(engines, self._actor, self._clock),
             reader.poller(),
         )
         self._current.subscribe(self._configure)
