Add the locator and check the process settings files field by field

Membership.alive shows a leaving suspect as leaving.

Result: a locator with a published view answers a chat's home first; without view and host list it answers 503 with Retry-After.

Conclusion: the address answer outlives its router.

--- /dev/null
+++ b/papayaloom/commands/locator.py
@@ -0,0 +1,242 @@
+"""Runs the locator: answers which router a caller should use.
+
+``GET /v1/address?chat=&zone=&region=&org=`` answers
+``{"addresses": [{"url", "router", "zone"}], "ttl_s"}``.
+
+Example settings file (JSON with comments)::
+
+    {
+      "name": "locator-1",
+      "deployment": "kelani",
+      "zone": "lk-west-a", "region": "lk-west",
+      "http": "127.0.0.1:8401",    // towards callers
+      "local": "127.0.0.1:8301",   // where the router on this host publishes
+      "router_port": 8101,         // of all routers, towards callers
+      "hosts_url": "http://127.0.0.1:8002"
+    }
+"""
+
+import http
+import random
+import signal
+import sys
+import threading
+import typing
+import urllib.parse
+
+import fire
+import msgspec
+import pynng
+import statsd
+import structlog
+from cheroot import wsgi
+
+from papayaloom import clock, errors, ids, messages
+from papayaloom.commands import logs
+from papayaloom.connection import views
+from papayaloom.ports import hosts
+from papayaloom.process import addresses, bootstrap, location, timers
+
+_log = structlog.get_logger('locator')
+_THREADS = 16
+_HOSTS_PERIOD_S = 5.0
+_MAX_QUERY = 4096
+_Start = typing.Callable[[str, list[tuple[str, str]]], object]
+
+
+class Locator:
+    """Locator of one host: sockets around :class:`location.Location`."""
+
+    def __init__(self, file: bootstrap.Locator, ticks: clock.Clock) -> None:
+        """Bind all addresses; :meth:`run` begins to serve.
+
+        :raises OSError: the HTTP address cannot be bound.
+        """
+        self.state = location.Location(
+            file.deployment,
+            ids.ZoneId(file.zone),
+            file.router_port,
+            addresses.Cfg(),
+            random.Random(),
+        )
+        self._clock = ticks
+        self._lock = threading.Lock()
+        self._hosts = hosts.HttpHosts(file.hosts_url)
+        self._has_hosts = bool(file.hosts_url)
+        self._etag = ''
+        self._metrics = _metrics(file.statsd)
+        self._timers = timers.Timers(ticks)
+        self._views = views.Subscriber(f'tcp://{file.local}', self.take_view)
+        self.server = wsgi.Server(
+            bootstrap.address(file.http, 'http'),
+            self.respond,
+            numthreads=_THREADS,
+            server_name='papayaloom-locator',
+        )
+        self.server.prepare()
+
+    def run(self) -> None:
+        """Serve until :meth:`stop`."""
+        self._views.start()
+        self._timers.start()
+        self._timers.after(0, self.read_hosts)
+        self._timers.every(_HOSTS_PERIOD_S, self.read_hosts)
+        try:
+            self.server.serve()
+        finally:
+            self._timers.stop()
+            self._views.close()
+
+    def stop(self) -> None:
+        """End :meth:`run`; answers under way are finished."""
+        threading.Thread(target=self.server.stop, daemon=True).start()
+
+    def take_view(self, view: messages.FleetView) -> None:
+        """Take a view of the router on this host."""
+        with self._lock:
+            taken = self.state.take_view(view, self._clock.monotonic())
+        if not taken:
+            self._count('ignored_views')
+
+    def read_hosts(self) -> None:
+        """Read the host list; without an answer the last one stays."""
+        if not self._has_hosts:
+            return
+        try:
+            listed = self._hosts.read(self._etag)
+        except errors.UpstreamError as exc:
+            self._count('hosts_unreadable')
+            _log.warning(f'locator: {exc}')
+            return
+        now = self._clock.monotonic()
+        with self._lock:
+            if listed is None:
+                self.state.hosts_unchanged(now)
+            else:
+                self._etag = listed.etag
+                self.state.take_hosts(listed, now)
+
+    def respond(
+        self, environ: dict[str, typing.Any], start: _Start
+    ) -> list[bytes]:
+        """Answer one HTTP request."""
+        if environ['REQUEST_METHOD'] != 'GET':
+            return _problem(start, 405, 'only GET is answered')
+        resources: dict[str, typing.Callable[[], tuple[int, object]]] = {
+            '/v1/address': lambda: self._address(environ),
+            '/status/health': lambda: (200, {'status': 'ok'}),
+            '/status/ready': self._ready,
+            '/status/dump': self._dump,
+        }
+        resource = resources.get(environ['PATH_INFO'])
+        if resource is None:
+            return _problem(start, 404, 'no such resource')
+        status, content = resource()
+        if isinstance(content, errors.Problem):
+            return _reply(
+                start,
+                status,
+                content.encode(),
+                'application/problem+json',
+                content.retry_after_s,
+            )
+        return _reply(start, status, msgspec.json.encode(content))
+
+    def _address(
+        self, environ: dict[str, typing.Any]
+    ) -> tuple[int, addresses.Answer | errors.Problem]:
+        query = environ.get('QUERY_STRING', '')
+        if len(query) > _MAX_QUERY:
+            return 414, errors.Problem(
+                'the query is too long',
+                414,
+                f'{len(query)} bytes; accepted are {_MAX_QUERY}',
+            )
+        given = dict(urllib.parse.parse_qsl(query, errors='replace'))
+        known = addresses.Question.__struct_fields__
+        question = addresses.Question(
+            **{name: given[name] for name in known if name in given}
+        )
+        with self._lock:
+            answer = self.state.answer(question, self._clock.monotonic())
+        self._count('answers')
+        if answer.addresses:
+            return 200, answer
+        return 503, errors.Problem(
+            'no router is known',
+            503,
+            'neither a view of the router on this host nor a host list',
+            retry_after_s=1,
+        )
+
+    def _ready(self) -> tuple[int, object]:
+        with self._lock:
+            ready = self.state.is_ready()
+        return (200, {'ready': True}) if ready else (503, {'ready': False})
+
+    def _dump(self) -> tuple[int, location.Dump]:
+        with self._lock:
+            return 200, self.state.dump(self._clock.monotonic())
+
+    def _count(self, name: str) -> None:
+        if self._metrics is not None:
+            self._metrics.incr(f'locator.{name}')
+
+
+def _metrics(address: str) -> statsd.StatsClient | None:
+    if not address:
+        return None
+    host, port = bootstrap.address(address, 'statsd')
+    return statsd.StatsClient(host, port)
+
+
+def _problem(start: _Start, status: int, title: str) -> list[bytes]:
+    problem = errors.Problem(title, status)
+    return _reply(start, status, problem.encode(), 'application/problem+json')
+
+
+def _reply(
+    start: _Start,
+    status: int,
+    body: bytes,
+    kind: str = 'application/json',
+    retry_after_s: float = 0,
+) -> list[bytes]:
+    headers = [('Content-Type', kind), ('Content-Length', str(len(body)))]
+    if retry_after_s:
+        headers.append(('Retry-After', str(round(retry_after_s))))
+    start(f'{status} {http.HTTPStatus(status).phrase}', headers)
+    return [body]
+
+
+def run(settings: str) -> None:
+    """Run the locator until it gets SIGTERM or SIGINT.
+
+    :param settings: path of the process's settings file.
+    """
+    logs.configure()
+    try:
+        locator = Locator(
+            bootstrap.load(settings, bootstrap.Locator), clock.SystemClock()
+        )
+    except (errors.SettingsError, OSError, pynng.NNGException) as exc:
+        sys.exit(f'papayaloom-locator: {exc}')
+
+    def end(*_: object) -> None:
+        locator.stop()
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
+    _log.info(
+        'locator: answers', http=':'.join(map(str, locator.server.bind_addr))
+    )
+    locator.run()
+
+
+def main() -> None:
+    """Run the console script."""
+    fire.Fire(run, name='papayaloom-locator')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/papayaloom/connection/views.py
@@ -0,0 +1,104 @@
+"""Sockets between a router and the locator on the same host.
+
+The router publishes its view of the fleet; the locator keeps the last one.
+The messages stay on the host and carry no authentication code.
+"""
+
+import threading
+import typing
+
+import msgspec
+import pynng
+
+from papayaloom import messages
+
+# Both ends keep a few views at most: only the newest counts.
+_BUFFER = 4
+_RECEIVE_TIMEOUT_MS = 500
+_MAX_BYTES = 4_000_000
+
+
+class Publisher:
+    """Publishes the view of one router.
+
+    :param address: pynng URL on the own host, such as
+        ``tcp://127.0.0.1:7101``.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Listen for the locator."""
+        self._sock = pynng.Pub0(send_buffer_size=_BUFFER)
+        try:
+            self._sock.listen(address)
+        except pynng.NNGException:
+            self._sock.close()
+            raise
+
+    def publish(self, view: messages.FleetView) -> None:
+        """Send the view; call it on every change and once a second.
+
+        A locator takes the silence of its router for its death, and one that
+        starts later gets the next view.
+        """
+        self._sock.send(msgspec.msgpack.encode(view))
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._sock.close()
+
+
+class Subscriber:
+    """Receives the views of the router on the same host.
+
+    :param receive: called with every view on the subscriber's thread.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        receive: typing.Callable[[messages.FleetView], object],
+    ) -> None:
+        """Dial without waiting; the router may start later."""
+        self.malformed = 0
+        self._receive = receive
+        self._decoder = msgspec.msgpack.Decoder(messages.FleetView)
+        self._closed = threading.Event()
+        self._sock = pynng.Sub0(
+            topics='',
+            recv_timeout=_RECEIVE_TIMEOUT_MS,
+            recv_buffer_size=_BUFFER,
+            recv_max_size=_MAX_BYTES,
+        )
+        self._sock.dial(address, block=False)
+        self._thread = threading.Thread(
+            target=self._run, name='views', daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to receive."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Close the socket and wait for the thread."""
+        self._closed.set()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._sock.close()
+
+    def _run(self) -> None:
+        while not self._closed.is_set():
+            try:
+                packet = self._sock.recv()
+            except pynng.Timeout:
+                continue
+            except pynng.Closed:
+                return
+            self._take(packet)
+
+    def _take(self, packet: bytes) -> None:
+        try:
+            view = self._decoder.decode(packet)
+        except msgspec.DecodeError:
+            self.malformed += 1
+            return
+        self._receive(view)
--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -415,7 +415,7 @@
     """The membership view that a router publishes to the locator on its host.
 
     :param members: all members that may serve callers, leaving ones included.
-    :param sequence: grows with every view of one boot of the router.
+    :param sequence: grows with every change within one boot of the router.
     :param ttl_s: how long callers may keep an address answer.
     :param count: how many addresses an answer holds.
     """
--- a/papayaloom/process/bootstrap.py
+++ b/papayaloom/process/bootstrap.py
@@ -12,6 +12,49 @@
 
 from papayaloom import errors
 
+
+def _text(pattern: str, accepted: str) -> msgspec.Meta:
+    return msgspec.Meta(pattern=pattern, description=accepted)
+
+
+_HOST_PORT = r'[^\s/:]+:\d{1,5}'
+_Name = typing.Annotated[
+    str,
+    _text(
+        r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$',
+        'a name of letters, digits, ".", "_" and "-"',
+    ),
+]
+_Url = typing.Annotated[
+    str,
+    _text(r'^https?://[^\s/]+/?$', 'a URL such as "http://10.0.0.1:9000"'),
+]
+_OptionalUrl = typing.Annotated[
+    str,
+    _text(
+        r'^(https?://[^\s/]+/?)?$',
+        'a URL such as "http://10.0.0.1:9000", or ""',
+    ),
+]
+_HostPort = typing.Annotated[
+    str,
+    _text(f'^{_HOST_PORT}$', 'HOST:PORT such as "10.0.0.1:8080"'),
+]
+_OptionalHostPort = typing.Annotated[
+    str,
+    _text(f'^({_HOST_PORT})?$', 'HOST:PORT such as "127.0.0.1:8125", or ""'),
+]
+_Keys = typing.Annotated[
+    tuple[typing.Annotated[str, msgspec.Meta(min_length=8)], ...],
+    msgspec.Meta(
+        min_length=1,
+        description='a list of one or more secrets of at least 8 characters',
+    ),
+]
+_Port = typing.Annotated[
+    int,
+    msgspec.Meta(ge=1, le=65535, description='a whole number, 1 to 65535'),
+]
 _File = typing.TypeVar('_File', bound=msgspec.Struct)
 
 
@@ -24,12 +67,12 @@
     :param statsd: ``host:port`` of the statsd server; empty for no metrics.
     """
 
-    name: str
-    zone: str
-    region: str
-    deployment: str
-    hosts_url: str = ''
-    statsd: str = ''
+    name: _Name
+    zone: _Name
+    region: _Name
+    deployment: _Name
+    hosts_url: _OptionalUrl = ''
+    statsd: _OptionalHostPort = ''
 
 
 class Router(Place, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -43,11 +86,11 @@
         has been read; the first one signs.
     """
 
-    http: str
-    control: str
-    local: str
-    kv_url: str
-    control_keys: tuple[str, ...]
+    http: _HostPort
+    control: _HostPort
+    local: _HostPort
+    kv_url: _Url
+    control_keys: _Keys
 
 
 class Locator(Place, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -55,10 +98,13 @@
 
     :param http: ``host:port`` towards callers.
     :param local: ``host:port`` at which the router on this host publishes.
+    :param router_port: port of the routers towards callers, for answers from
+        the host list, which names only their inboxes.
     """
 
-    http: str
-    local: str
+    http: _HostPort
+    local: _HostPort
+    router_port: _Port = 8080
 
 
 class Orderer(Place, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -69,25 +115,47 @@
     :param weights_url: base URL of the weight store.
     """
 
-    http: str
-    kv_url: str
-    weights_url: str = ''
+    http: _HostPort
+    kv_url: _Url
+    weights_url: _OptionalUrl = ''
 
 
 def load(path: str, shape: type[_File]) -> _File:
     """Read a settings file.
 
     :param shape: :class:`Router`, :class:`Locator` or :class:`Orderer`.
-    :raises errors.SettingsError: names the file, the field and what is wrong.
+    :raises errors.SettingsError: one sentence that names the file, the
+        field, its value and the accepted form.
     """
     try:
         text = pathlib.Path(path).read_text()
     except (OSError, UnicodeDecodeError) as exc:
         raise errors.SettingsError(f'cannot read {path}: {exc}') from exc
+    return parse(text, shape, path)
+
+
+def parse(text: str, shape: type[_File], path: str = 'text') -> _File:
+    """Return the settings of a text.
+
+    :param path: where the text is from, for the error.
+    :raises errors.SettingsError: the text cannot be used.
+    """
     try:
-        return msgspec.convert(json5.loads(text), shape)
-    except (msgspec.ValidationError, ValueError) as malformed:
-        raise errors.SettingsError(f'{path}: {malformed}') from malformed
+        fields = json5.loads(text)
+    except Exception as exc:
+        raise errors.SettingsError(
+            f'{path} is not JSON with comments: {exc}'
+        ) from exc
+    if not isinstance(fields, dict):
+        raise errors.SettingsError(f'{path} must hold one object')
+    # Unquoted keys are of a subclass of str, which msgspec refuses.
+    fields = {str(name): content for name, content in fields.items()}
+    try:
+        return msgspec.convert(fields, shape)
+    except msgspec.ValidationError as malformed:
+        raise errors.SettingsError(
+            f'{path}: {_explain(fields, shape)}'
+        ) from malformed
 
 
 def address(text: str, field: str) -> tuple[str, int]:
@@ -102,3 +170,36 @@
             f'{field} is {text!r}, expected HOST:PORT with a port below 65536',
         )
     return host, int(port)
+
+
+def _explain(fields: dict[str, typing.Any], shape: type[msgspec.Struct]) -> str:
+    """Return one sentence about the first field that is wrong."""
+    known = {field.name: field for field in msgspec.structs.fields(shape)}
+    for name in fields:
+        if name not in known:
+            accepted = ', '.join(sorted(known))
+            return f'unknown field "{name}"; accepted are {accepted}'
+    for name, field in known.items():
+        accepted = _accepted(field.type)
+        if name not in fields:
+            if field.required:
+                return f'field "{name}" is missing; accepted is {accepted}'
+            continue
+        try:
+            msgspec.convert(fields[name], field.type)
+        except msgspec.ValidationError:
+            shown = _shown(name, fields[name])
+            return f'field "{name}" is {shown}; accepted is {accepted}'
+    return 'the fields do not fit together'
+
+
+def _accepted(kind: typing.Any) -> str:
+    notes = getattr(kind, '__metadata__', ())
+    return notes[0].description if notes else f'a {kind.__name__}'
+
+
+def _shown(name: str, content: typing.Any) -> str:
+    # Keys never appear in error messages or logs.
+    if name == 'control_keys':
+        return 'not shown'
+    return repr(content)[:80]
--- a/papayaloom/process/membership.py
+++ b/papayaloom/process/membership.py
@@ -160,7 +160,8 @@
     def alive(self, *, leaving: bool = True) -> list[messages.Member]:
         """Return the members that count as alive, this router included.
 
-        Suspects count as alive. The same list is returned until something
+        Suspects count as alive; a suspect that announced a stop is shown as
+        leaving. The same list is returned until something
         changes, so that callers can tell a change; don't change the list.
 
         :param leaving: include those that announced a stop.
@@ -168,7 +169,7 @@
         revision, members_alive = self._alive.get(leaving, (-1, []))
         if revision != self.table.revision:
             members_alive = [
-                entry.member
+                _shown(entry)
                 for entry in self.table.alive()
                 if leaving or not entry.leaving
             ]
@@ -279,6 +280,12 @@
         table.confirm_gone(entry)
 
 
+def _shown(entry: members.Entry) -> messages.Member:
+    if not entry.leaving or entry.member.state is _State.LEAVING:
+        return entry.member
+    return msgspec.structs.replace(entry.member, state=_State.LEAVING)
+
+
 def _dump_entry(entry: members.Entry, now: float, listed: bool) -> MemberDump:
     return MemberDump(
         router=entry.member.router,
