--- a/papayaloom/process/holds.py
+++ b/papayaloom/process/holds.py
@@ -50,7 +50,7 @@
             collections.deque[tuple[float, int]],
         ] = {}
         self._heard: dict[ids.RouterId, float] = {}
-        self._corrected: dict[ids.EngineId, float] = {}
+        self._lapsed: dict[ids.EngineId, list[float]] = {}
         self._extra: dict[ids.EngineId, int] = {}
 
     def count(self, engine: ids.EngineId) -> int:
@@ -64,7 +64,7 @@
 
     def extra(self, engine: ids.EngineId) -> int:
         """Return running requests that only the engine's report shows."""
-        return self._extra.get(engine, 0)
+        return self._extra.get(engine, 0) + len(self._lapsed.get(engine, ()))
 
     def engines(self) -> list[ids.EngineId]:
         """Return the engines with running grants."""
@@ -157,23 +157,26 @@
         """Drop grants whose hold time has passed.
 
         Their requests may still run, so they count as extra until the next
-        report of an engine that reports.
+        report of their engine, or for one more hold time.
         """
         for engine, grants in self._grants.items():
             late = [key for key, held in grants.items() if held.expires <= now]
             for key in late:
                 grants.pop(key)
+            lapsed = self._lapsed.get(engine, [])
+            self._lapsed[engine] = [
+                at for at in lapsed if now - at < self.hold_s
+            ]
             if late:
                 self._note(engine, now)
-                if now - self._corrected.get(engine, -_HISTORY_S) < _HISTORY_S:
-                    self._extra[engine] = self.extra(engine) + len(late)
+                self._lapsed[engine].extend(now for _ in late)
 
     def clear(self, engine: ids.EngineId) -> None:
         """Forget an engine that is gone."""
         self._grants.pop(engine, None)
         self._peaks.pop(engine, None)
         self._extra.pop(engine, None)
-        self._corrected.pop(engine, None)
+        self._lapsed.pop(engine, None)
 
     def correct(
         self,
@@ -188,14 +191,15 @@
             compared with the counts of that time.
         """
         self._note(engine, now)
-        self._corrected[engine] = taken
         counts = self._peaks[engine]
         before = [count for at, count in counts if at <= taken]
         during = [
             count for at, count in counts if abs(at - taken) <= _REPORT_SPREAD_S
         ]
-        known = max((*before[-1:], *during), default=self.count(engine))
+        known = min((*before[-1:], *during), default=self.count(engine))
         self._extra[engine] = max(0, running - known)
+        lapsed = self._lapsed.get(engine, [])
+        self._lapsed[engine] = [at for at in lapsed if at > taken]
 
     def _note(self, engine: ids.EngineId, now: float) -> None:
         peaks = self._peaks.setdefault(engine, collections.deque())
--- a/papayaloom/process/promises.py
+++ b/papayaloom/process/promises.py
@@ -24,11 +24,13 @@
 class Held(msgspec.Struct, frozen=True):
     """A promise that this router got as the first in rank.
 
+    :param since: when it was asked for, on this router's clock, in seconds.
     :param until: end of the term on this router's clock, in seconds.
     :param foreign: running grants of the second when it promised.
     """
 
     second: ids.RouterId
+    since: float
     until: float
     foreign: int
 
@@ -141,4 +143,4 @@
         for engine, running in promise.counts:
             earlier = self._held.get(engine)
             if earlier is None or earlier.until < until:
-                self._held[engine] = Held(sender, until, running)
+                self._held[engine] = Held(sender, sent, until, running)
--- a/papayaloom/process/rights.py
+++ b/papayaloom/process/rights.py
@@ -21,7 +21,7 @@
     """
 
     settle_s: float = 6
-    report_lag_s: float = 2
+    report_lag_s: float = 3
     confirm_s: float = 30
 
 
@@ -67,7 +67,7 @@
         self._first_since: dict[ids.EngineId, float] = {}
         self._reports: dict[ids.EngineId, tuple[int, float]] = {}
         self._handed: dict[ids.EngineId, int] = {}
-        self._renewed = float('-inf')
+        self._ticked = float('-inf')
         self._served: list[ids.EngineId] = []
         self._served_for: tuple[int, frozenset[ids.EngineId]] = (
             -1,
@@ -96,7 +96,7 @@
         """
         given = self._promises.given(engine)
         promised = given is not None and given.until > now
-        paused = now - self._renewed > self._cfg.settle_s
+        paused = now - self._ticked > self._cfg.settle_s
         if paused or promised or not self._ranks.quorate:
             return _NOTHING
         order = self._ranks.order(engine)
@@ -137,25 +137,34 @@
         now: float,
     ) -> list[messages.Send]:
         """Renew the promises for the engines that this router serves."""
-        if now - self._renewed < renew_s:
-            return []
-        if now - self._renewed > self._cfg.settle_s:
+        if now - self._ticked > self._cfg.settle_s:
             # After a pause, holds may have expired without their requests
             # having ended: the homes name them again as to a new first.
             self._first_since.clear()
             self._handed.clear()
-        self._renewed = now
+        self._ticked = now
         self._choose(engines)
         wanted: dict[ids.RouterId, list[ids.EngineId]] = {}
         for engine in self._served:
             second = self._second_to_ask(engine, now)
-            if second is not None:
+            if second is not None and self._due(engine, second, renew_s, now):
                 wanted.setdefault(second, []).append(engine)
         return [
             self._promises.request(second, asked, now)
             for second, asked in wanted.items()
         ]
 
+    def _due(
+        self,
+        engine: ids.EngineId,
+        second: ids.RouterId,
+        renew_s: float,
+        now: float,
+    ) -> bool:
+        """Tell whether to ask again; without an answer that is at each tick."""
+        held = self._promises.held(engine, second)
+        return held is None or now - held.since >= renew_s
+
     def _choose(self, engines: frozenset[ids.EngineId]) -> None:
         """Choose the engines that this router serves, or served as a first.
 
