--- a/papayaloom/bench/placement.py
+++ b/papayaloom/bench/placement.py
@@ -80,7 +80,8 @@
     for job in jobs:
         world.after(job.arrival, policy.arrive, job)
         if job.arrival >= size.warm_s:
-            world.stats.arrived[job.surge] += 1
+            world.stats.arrived += 1
+            world.stats.quiet += job.quiet
     if plan.scenario == 'churn':
         _churn(world, policy, random.Random(plan.seed + 2))
     if plan.scenario == 'disagree' and isinstance(policy, policies.Fleet):
@@ -205,7 +206,7 @@
 ) -> list[Figure]:
     """Return the figures of a finished run."""
     reuse = _reuse(stats)
-    arrived = max(1, sum(stats.arrived.values()))
+    arrived = max(1, stats.arrived)
     found = [
         ('load_over_cap', max(stats.over), 'ratio'),
         ('load_over_cap_always', max(stats.over_always), 'ratio'),
@@ -220,10 +221,9 @@
             ('cache_reuse_of_bound', reuse / max(_reuse(bound), 1e-9), 'ratio')
         )
     if plan.scenario == 'surge':
-        # Requests that still ran at the end have had no chance to be counted.
-        ended = stats.in_time[False] / max(1, stats.arrived[False])
-        found.append(('quiet_in_time', ended, 'share'))
-        quiet = stats.reused[False] / max(1, stats.prompt[False])
+        quiet_in_time = stats.quiet_in_time / max(1, stats.quiet)
+        found.append(('fairness', quiet_in_time, 'share'))
+        quiet = stats.reused['quiet'] / max(1, stats.prompt['quiet'])
         found.append(('quiet_cache_reuse', quiet, 'share'))
     size = f'{plan.size.engines} engines'
     return [
--- a/papayaloom/bench/placement_world.py
+++ b/papayaloom/bench/placement_world.py
@@ -64,6 +64,11 @@
     cached: int = 0
     tries: int = 0
 
+    @property
+    def quiet(self) -> bool:
+        """Return whether its organisation is not the one that surges."""
+        return self.organisation != 'org-0'
+
     @property
     def deadline(self) -> float:
         """Return until when the first token is in time."""
@@ -211,10 +216,11 @@
         self.over: list[float] = [0]
         self.over_always: list[float] = [0]
         self.skews: list[float] = []
-        self.prompt = collections.Counter()  # type: ignore[var-annotated]
-        self.reused = collections.Counter()  # type: ignore[var-annotated]
-        self.arrived = collections.Counter()  # type: ignore[var-annotated]
-        self.in_time = collections.Counter()  # type: ignore[var-annotated]
+        self.prompt: collections.Counter[str] = collections.Counter()
+        self.reused: collections.Counter[str] = collections.Counter()
+        self.arrived = 0
+        self.quiet = 0
+        self.quiet_in_time = 0
         self.late = 0
         self.answered = 0
         self.refused = 0
@@ -338,13 +344,15 @@
             return False
         job.cached = min(fake.cached(job.blocks), len(job.blocks))
         if self.measured and not job.tries:
-            self.stats.prompt[job.surge] += len(job.blocks)
-            self.stats.reused[job.surge] += job.cached
+            group = 'quiet' if job.quiet else 'surging'
+            self.stats.prompt[group] += len(job.blocks)
+            self.stats.reused[group] += job.cached
         self._tell(engine, fake.store(job.blocks))
         missing = (len(job.blocks) - job.cached) * BLOCK_TOKENS
         prefill_s = missing / PREFILL_TOKENS_PER_S
         if job.started is None:
             job.started = self.now + prefill_s
+            self._first_token(job)
         fake.starts += 1
         fake.running[job.number] = (job, fake.starts)
         self.after(
@@ -372,11 +380,14 @@
                 self.on_crash(job, engine)
 
     def refuse(self, job: Job) -> None:
-        """Count a refusal; it is false when an engine has room."""
+        """Count a refusal; it is false when an engine has room.
+
+        The tenth of the places that is kept for others is no room.
+        """
         if job.arrival < self.size.warm_s:
             return
         self.stats.refused += 1
-        ceiling = self.cap()
+        ceiling = min(self.cap(), int(self.size.most * 0.9))
         if any(len(self.admitted[one]) < ceiling for one in self.serving()):
             self.stats.falsely += 1
 
@@ -387,13 +398,15 @@
         fake.running.pop(job.number)
         self._tell(engine, fake.store(job.after))
         self.give_back(job, engine)
+        if self.on_done:
+            self.on_done(job, engine)
+
+    def _first_token(self, job: Job) -> None:
         if job.arrival >= self.size.warm_s and job.started is not None:
             self.stats.answered += 1
             in_time = job.started <= job.deadline
-            self.stats.in_time[job.surge] += in_time
+            self.stats.quiet_in_time += in_time and job.quiet
             self.stats.late += not in_time
-        if self.on_done:
-            self.on_done(job, engine)
 
     def _tell(self, engine: ids.EngineId, event: prefixes.Event) -> None:
         if self.on_event and self.rng.random() >= self.lost:
--- a/papayaloom/process/admission.py
+++ b/papayaloom/process/admission.py
@@ -1,5 +1,6 @@
 """Owner side: admits requests to the engines for which this router ranks."""
 
+import math
 import typing
 
 import msgspec
@@ -24,6 +25,8 @@
 
     :param load_multiple: highest load of an engine over the mean load.
     :param most_running: highest load of an engine, whatever the mean.
+    :param reserve: share of the highest load that is kept for organisations
+        with less than their share of an engine.
     :param hold_s: seconds for which a grant lives without a renewal.
     :param refuse_factor: a request is refused at once when its estimated wait
         is longer than this many times the time that it can wait.
@@ -31,6 +34,7 @@
 
     load_multiple: float = 1.15
     most_running: int = 64
+    reserve: float = 0.1
     hold_s: float = 10
     refuse_factor: float = 2
     rank: ranks.Cfg = ranks.Cfg()
@@ -281,7 +285,9 @@
             return _answer(sender, ask, messages.GrantState.GRANTED, room)
         if key in self.queues:
             return _answer(sender, ask, messages.GrantState.QUEUED, room)
-        if room.free and not self.queues.waiting(ask.engine):
+        queued = self.queues.waiting(ask.engine)
+        shares = _sharing(self._cfg, self.holds, ask.engine, room)
+        if room.free and not queued and shares(ask.organisation):
             return self._grant(sender, ask, room, now)
         if not room.cap or room.setting != rights.MULTIPLE:
             return _answer(sender, ask, messages.GrantState.DENIED, room)
@@ -317,7 +323,11 @@
         sends = []
         while self.queues.waiting(engine):
             room = self.room(engine, now)
-            entry = self.queues.pop(engine, now) if room.free else None
+            if not room.free:
+                break
+            entry = self.queues.pop(
+                engine, now, _sharing(self._cfg, self.holds, engine, room)
+            )
             if entry is None:
                 break
             sends.append(self._grant(entry.key[0], entry.ask, room, now))
@@ -347,6 +357,27 @@
         return _answer(entry.key[0], entry.ask, state, room)
 
 
+def _sharing(
+    cfg: Cfg,
+    held: holds.Holds,
+    engine: ids.EngineId,
+    room: Room,
+) -> queue.Admits:
+    """Return whether an organisation may have one more request.
+
+    The last places of an engine are kept for the organisations that have less
+    than their share of it, so that a surge of one of them does not let the
+    others wait.
+    """
+    shared = cfg.most_running - math.ceil(cfg.most_running * cfg.reserve)
+
+    def admits(organisation: ids.OrgId) -> bool:
+        full = room.load >= shared
+        return not full or not held.exceeds(engine, organisation, shared)
+
+    return admits
+
+
 def _answer(
     sender: ids.RouterId,
     ask: messages.Ask,
--- a/papayaloom/process/holds.py
+++ b/papayaloom/process/holds.py
@@ -62,6 +62,29 @@
         grants = self._grants.get(engine, {})
         return sum(held.granted > moment for held in grants.values())
 
+    def exceeds(
+        self,
+        engine: ids.EngineId,
+        organisation: ids.OrgId,
+        capacity: int,
+    ) -> bool:
+        """Tell whether one more request would exceed a max-min fair share.
+
+        :param capacity: requests that the organisations share on the engine.
+        """
+        counts = collections.Counter(
+            held.organisation for held in self._grants.get(engine, {}).values()
+        )
+        counts[organisation] += 1
+        left = capacity
+        waiting = sorted(counts.values())
+        for index, count in enumerate(waiting):
+            level = left / (len(waiting) - index)
+            if count > level:
+                return counts[organisation] > level
+            left -= count
+        return False
+
     def extra(self, engine: ids.EngineId) -> int:
         """Return running requests that only the engine's report shows."""
         return self._extra.get(engine, 0) + len(self._lapsed.get(engine, ()))
--- a/papayaloom/process/queue.py
+++ b/papayaloom/process/queue.py
@@ -7,6 +7,9 @@
 from papayaloom import ids, messages
 
 
+Admits = typing.Callable[[ids.OrgId], bool]
+
+
 class Cfg(msgspec.Struct, frozen=True):
     """Limits of a queue.
 
@@ -79,14 +82,19 @@
         self._entries.pop(dropped.key)
         return dropped
 
-    def pop(self, now: float) -> Entry | None:
-        """Take the next request out."""
-        if not self._entries:
-            return None
+    def pop(self, now: float, admits: Admits) -> Entry | None:
+        """Take out the next request of an organisation that may have one."""
         entry = min(
-            self._entries.values(),
+            (
+                one
+                for one in self._entries.values()
+                if admits(one.ask.organisation)
+            ),
             key=lambda waiting: self._order(waiting, now),
+            default=None,
         )
+        if entry is None:
+            return None
         self._entries.pop(entry.key)
         weight = self._cfg.weights.get(entry.ask.organisation, 1)
         start = self._served.get(entry.ask.organisation, 0)
@@ -193,9 +201,17 @@
         waiting = self._queues.setdefault(engine, Queue(self._cfg))
         return self._forget(waiting.push(entry, now))
 
-    def pop(self, engine: ids.EngineId, now: float) -> Entry | None:
-        """Take the next request for an engine out."""
-        return self._forget(self._queues[engine].pop(now))
+    def pop(
+        self,
+        engine: ids.EngineId,
+        now: float,
+        admits: Admits,
+    ) -> Entry | None:
+        """Take the next request for an engine out.
+
+        :param admits: tells whether an organisation may have one more.
+        """
+        return self._forget(self._queues[engine].pop(now, admits))
 
     def remove(self, key: tuple[ids.RouterId, int]) -> None:
         """Take out a request that was given up."""
--- a/papayaloom/version/declarations/placement.py
+++ b/papayaloom/version/declarations/placement.py
@@ -23,6 +23,19 @@
         axis=setting.Axis.MODEL,
         doc='Highest load of an engine, whatever the mean load is.',
     ),
+    setting.Setting(
+        path='placement.reserve',
+        kind=setting.Kind.NUMBER,
+        unit=setting.Unit.SHARE,
+        default=0.1,
+        low=0,
+        high=1.0,
+        axis=setting.Axis.MODEL,
+        doc=(
+            'Share of the highest load that is kept for organisations '
+            'with less than their share of an engine.'
+        ),
+    ),
     setting.Setting(
         path='placement.reuse_weight',
         kind=setting.Kind.NUMBER,
