--- a/papayaloom/process/router.py
+++ b/papayaloom/process/router.py
@@ -9,7 +9,7 @@
 import structlog
 
 from papayaloom import clock, errors, ids, messages
-from papayaloom.connection import codec, peers
+from papayaloom.connection import codec, peers, views
 from papayaloom.ports import engine_http, hosts, kv, service_http
 from papayaloom.process import (
     actors,
@@ -22,6 +22,7 @@
     drain,
     http_front,
     ledger_writer,
+    metrics,
     office,
     outbox,
     polling,
@@ -35,6 +36,8 @@
 _log = structlog.get_logger('router')
 _TICK_S = 0.05
 _STOP_TICK_S = 0.25
+# A locator takes a longer silence for the death of its router.
+_VIEW_S = 1.0
 
 
 class Router:
@@ -69,7 +72,11 @@
             self._codec,
             self._clock.monotonic(),
         )
+        self._metrics = metrics.Metrics(
+            file.statsd, f'{file.deployment}.{file.name}'
+        )
         self._peers = self._listen()
+        self._views = self._publisher()
         store = kv.HttpKv(file.kv_url)
         self._store = store_io.StoreCalls(store, self._stored)
         self._actor = self._start_actor()
@@ -99,6 +106,8 @@
         self._watch.start()
         self._timers.every(_TICK_S, self._tick)
         self._timers.every(_STOP_TICK_S, self._tick_stop)
+        self._timers.every(_VIEW_S, self._publish)
+        self._timers.every(metrics.PERIOD_S, self._measure)
         self._timers.start()
         for poller in self._pollers:
             poller.start()
@@ -171,6 +180,7 @@
         self._store.stop()
         self._actor.stop()
         self._peers.close()
+        self._views.close()
         _log.info('router: stopped', name=self._file.name)
 
     def _listen(self) -> peers.Peers:
@@ -181,6 +191,30 @@
                 f'cannot listen on control {self._file.control}: {exc}',
             ) from exc
 
+    def _publisher(self) -> views.Publisher:
+        try:
+            return views.Publisher(f'tcp://{self._file.local}')
+        except Exception as exc:
+            raise errors.SettingsError(
+                f'cannot listen on local {self._file.local}: {exc}',
+            ) from exc
+
+    def _publish(self) -> None:
+        def step(decisions: core.Core, now: float) -> admitting.Effects:
+            self._views.publish(
+                decisions.view(self._file.deployment, self._boot),
+            )
+            return admitting.Effects()
+
+        self._actor.tell(actors.Run(step))
+
+    def _measure(self) -> None:
+        def step(decisions: core.Core, now: float) -> admitting.Effects:
+            self._metrics.send(decisions.dump(now), len(self._watch))
+            return admitting.Effects()
+
+        self._actor.tell(actors.Run(step))
+
     def _received(self, packet: bytes) -> None:
         self._actor.tell(packet)
 
--- a/papayaloom/process/store_io.py
+++ b/papayaloom/process/store_io.py
@@ -37,16 +37,20 @@
 
     def _call(self, effect: ledger_writer.Effect) -> None:
         try:
-            stored = _carry_out(self._store, effect)
+            stored = carry_out(self._store, effect)
         except errors.PapayaloomError:
             stored = ledger_writer.Failed(effect.operation)
         self._report(stored)
 
 
-def _carry_out(
+def carry_out(
     store: kv.Kv,
     effect: ledger_writer.Effect,
 ) -> ledger_writer.Stored:
+    """Run one store call and return its result.
+
+    :raises papayaloom.errors.StoreUnavailableError: there was no answer.
+    """
     number = effect.operation
     match effect:
         case ledger_writer.Read(key=key):
