--- a/features/settings_tree.feature
+++ b/features/settings_tree.feature
@@ -20,6 +20,7 @@
       | a foreign branch  | services/desk  | {settings:            | {test: {rate: 1}}}         | 3    | test.rate              | may not be set in branch        | fleet, organisation            |
       | a wrong choice    | fleet          | {settings:            | {test: {mode: "fast"}}}    | 3    | test.mode              | is not an accepted choice       | one of slow, steady            |
       | a second value    | fleet          | {settings: {"test.rate": 1, | test: {rate: 2}}}    | 3    | test.rate              | is given twice                  |                                |
+      | a second group    | fleet          | {settings: {test: {}, | test: {rate: 2}}}          | 3    | test                   | is given twice                  |                                |
       | a foreign member  | fleet          | {settings: {},        | sets: 1}                   | 3    | sets                   | is no member                    | parent, settings               |
       | broken syntax     | fleet          | {settings: {          | test ; 1}}                 | 3    | document               | is no JSON with comments        |                                |
       | a bad parent name | services/desk  | {                     | parent: "desk"}            | 3    | parent                 | is no branch name               |                                |
@@ -118,3 +119,8 @@
   Scenario: Every declared setting is consistent and documented
     Then every declaration accepts its default and has one axis
     And docs/settings.md is what the declarations give
+
+  # Guards against an edit of one setting that loses a comment or another
+  # setting, or leaves a document that cannot be read.
+  Scenario: Setting and unsetting keeps comments and other settings
+    Then 400 generated documents keep their comments when a setting changes
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -1,5 +1,6 @@
 import json
 import pathlib
+import re
 import string
 
 import behave
@@ -15,6 +16,7 @@
     document,
     edit,
     page,
+    rewrite,
     schema,
     snapshot,
     tree,
@@ -256,3 +258,51 @@
     assert pathlib.Path('docs/settings.md').read_text() == page.render(), (
         'run `make docs`'
     )
+
+
+GAP = st.sampled_from([
+    '', ' ', '\n  ', '/* c */', '// l\n', ' /* d */ // e\n  ',
+])  # fmt: skip
+
+
+@st.composite
+def objects(draw, members):
+    """An object with gaps and comments in every place."""
+    chosen = draw(
+        st.lists(members, max_size=3, unique_by=lambda m: m.split(':')[0])
+    )
+    texts = [draw(GAP) + one + draw(GAP) for one in chosen]
+    if texts and draw(st.booleans()):
+        texts.append(draw(GAP))
+    return '{{{}{}}}'.format(draw(GAP), ','.join(texts))
+
+
+INNER = objects(st.sampled_from(['rate: 1.5', '"mode": "slow"', 'copies: 3']))
+DOCUMENTS = objects(INNER.map('test: {}'.format)).map('{{settings: {}}}'.format)
+
+
+def comments(text):
+    return sorted(re.findall(r'/\* \w \*/|// \w', text))
+
+
+@behave.then(
+    '{count:d} generated documents keep their comments when a setting changes'
+)
+def rewriting(context, count):
+    known = settings_sample.SCHEMA
+
+    @seeded(count)
+    @hypothesis.given(DOCUMENTS, st.sampled_from(['test.rate', 'test.copies']))
+    def keep(text, path):
+        before = document.parse(text, 'fleet', known).ok_value.settings
+        changed = rewrite.set_value(text, path, '7').ok_value
+        after = document.parse(changed, 'fleet', known).ok_value.settings
+        assert after == {**before, path: 7}
+        assert comments(changed) == comments(text)
+        removed = rewrite.unset_value(changed, path).ok_value
+        before.pop(path, None)
+        left = document.parse(removed, 'fleet', known).ok_value.settings
+        assert left == before
+        assert comments(removed) == comments(text)
+
+    keep()
--- a/papayaloom/ports/kv.py
+++ b/papayaloom/ports/kv.py
@@ -32,6 +32,7 @@
 import urllib3
 
 from papayaloom import errors
+from papayaloom.ports import failure
 
 ABSENT = 0
 MAX_VALUE_BYTES = 1_000_000
@@ -301,7 +302,8 @@
             )
         except urllib3.exceptions.HTTPError as exc:
             raise errors.StoreUnavailableError(
-                f'key-value service {self._url} did not answer: {exc}',
+                f'key-value service {self._url} did not answer: '
+                f'{failure.reason(exc)}',
             ) from exc
         if reply.status not in usable:
             raise errors.StoreUnavailableError(
--- /dev/null
+++ b/papayaloom/ports/status.py
@@ -0,0 +1,84 @@
+"""Reads the status resources of the fleet's processes over HTTP.
+
+``GET /status/dump`` answers a JSON object; that of a router has ``router``
+and ``settings`` with ``version``, ``digest`` and ``source``.
+``GET /status/records/<request id>`` answers 404, or a JSON list of objects
+with ``record`` and ``explanation`` (a list of sentences).
+"""
+
+import concurrent.futures
+import typing
+import urllib.parse
+
+import msgspec
+import result
+import urllib3
+
+from papayaloom.ports import failure
+
+_OK = 200
+_NOT_FOUND = 404
+# Enough for 360 routers within a few timeouts, even when many are down.
+_THREADS = 32
+
+Fetched = result.Result[object, str]
+
+
+class Client:
+    """Reads several processes at the same time.
+
+    :param timeout_s: longest wait for a connection and for an answer.
+    """
+
+    def __init__(self, timeout_s: float = 2.0) -> None:
+        """Prepare a connection pool; connects on the first call."""
+        self._pool = urllib3.PoolManager(
+            retries=False,
+            timeout=urllib3.Timeout(connect=timeout_s, read=timeout_s),
+            maxsize=1,
+            num_pools=_THREADS,
+        )
+
+    def dumps(self, urls: typing.Sequence[str]) -> list[Fetched]:
+        """Return the dump of each process, or why there is none."""
+        return self._fetch_all(urls, '/status/dump')
+
+    def records(
+        self,
+        urls: typing.Sequence[str],
+        request_id: str,
+    ) -> list[Fetched]:
+        """Return the records of a request at each router.
+
+        A router without a record gives an empty list.
+        """
+        quoted = urllib.parse.quote(request_id, safe='')
+        return self._fetch_all(urls, f'/status/records/{quoted}')
+
+    def _fetch_all(
+        self,
+        urls: typing.Sequence[str],
+        path: str,
+    ) -> list[Fetched]:
+        with concurrent.futures.ThreadPoolExecutor(_THREADS) as pool:
+            return list(pool.map(lambda url: self._fetch(url, path), urls))
+
+    def _fetch(self, url: str, path: str) -> Fetched:
+        address = '{0}{1}'.format(url.rstrip('/'), path)
+        try:
+            reply = self._pool.request(
+                'GET',
+                address,
+                retries=False,
+                redirect=False,
+            )
+        except (urllib3.exceptions.HTTPError, ValueError) as exc:
+            return result.Err(f'{url} did not answer: {failure.reason(exc)}')
+        if reply.status == _NOT_FOUND and '/records/' in path:
+            return result.Ok([])
+        if reply.status != _OK:
+            return result.Err(f'{url} answered {reply.status}')
+        try:
+            return result.Ok(msgspec.json.decode(reply.data))
+        except msgspec.DecodeError as malformed:
+            return result.Err(f'{url} sent no JSON: {malformed}')
--- a/papayaloom/version/document.py
+++ b/papayaloom/version/document.py
@@ -70,6 +70,8 @@
         self.lines: dict[str, int] = {}
         self._branch = branch
         self._schema = known
+        self._seen: set[str] = set()
+        self._waiting: list[tuple[str, model.JSONObject]] = []
 
     def read(self, root: model.Value) -> None:
         """Read the whole document."""
@@ -122,15 +124,21 @@
             self._refuse('settings', root.lineno, 'is not an object')
             return
         # A list instead of recursion: the depth of the input is not trusted.
-        waiting: list[tuple[str, model.JSONObject]] = [('', root)]
-        while waiting:
-            prefix, group = waiting.pop()
+        self._waiting.append(('', root))
+        while self._waiting:
+            prefix, group = self._waiting.pop()
             for key, node in group.key_value_pairs:
                 path = f'{prefix}{key_name(key)}'
-                if isinstance(node, model.JSONObject) and self._is_group(path):
-                    waiting.append((f'{path}.', node))
-                else:
-                    self._read_value(path, key.lineno or 0, node)
+                self._read_member(path, key.lineno or 0, node)
+
+    def _read_member(self, path: str, line: int, node: model.Value) -> None:
+        if path in self._seen:
+            self._refuse(path, line, 'is given twice')
+        elif isinstance(node, model.JSONObject) and self._is_group(path):
+            self._waiting.append((f'{path}.', node))
+        else:
+            self._read_value(path, line, node)
+        self._seen.add(path)
 
     def _is_group(self, path: str) -> bool:
         return any(known.startswith(f'{path}.') for known in self._schema)
@@ -141,9 +149,6 @@
             hint = schema.similar(path, self._schema)
             self._refuse(path, line, f'is no known setting{hint}')
             return
-        if path in self.settings:
-            self._refuse(path, line, 'is given twice')
-            return
         if not tree.may_set(self._branch, declared):
             self._refuse(
                 path,
--- a/papayaloom/version/schema.py
+++ b/papayaloom/version/schema.py
@@ -80,6 +80,8 @@
         setting.Unit.COUNT: '',
     }
 )
+# Below this, the nearest name is rarely the one that was meant.
+_SIMILARITY = 0.8
 # Greater integers do not survive a conversion to a 64-bit float.
 _MAX_INTEGER = 2**53
 
@@ -120,7 +122,7 @@
 
 def similar(path: str, known: typing.Iterable[str]) -> str:
     """Return a hint that names a known path similar to an unknown one."""
-    close = difflib.get_close_matches(path[:200], list(known), n=1)
+    close = difflib.get_close_matches(path[:200], list(known), 1, _SIMILARITY)
     return f'; did you mean {close[0]}?' if close else ''
 
 
