--- a/papayaloom/process/http_front.py
+++ b/papayaloom/process/http_front.py
@@ -60,14 +60,14 @@
             return _refuse(exc.problem, start)
 
     def dump(self) -> dict[str, object]:
-        """Return a copy of the front's state and the desk's dump."""
-        return {
-            'router': self._parts.router,
+        """Return a copy of the desk's state, and the front's beside it."""
+        front = {
             'open_requests': len(self._parts.watch),
             'dropped_cancels': self._parts.watch.dropped_cancels,
             'counts': dict(self.counts),
-            'desk': self._parts.office.dump(),
         }
+        state = msgspec.to_builtins(self._parts.office.dump())
+        return {'router': self._parts.router, **state, 'front': front}
 
     def _chat(
         self, environ: arrival.Environ, start: Start
