Answer internal errors with 'may have run'; log ended requests

Cause: cheroot answers an unexpected TimeoutError with 408 and any other exception with 500, and the server wrote the verdict 'not run' on both, although the request may have left by then. The new scenario 'A fault of the router itself is not reported as "not run"' shows it.

Change: the front answers unexpected exceptions itself with 500 and 'may have run'; only a body that did not arrive in time still ends with 408. One log line for each ended request. Scenarios for deadlines, silent engines, renewals and bodies that never end.

Conclusion: 'not run' is only said when nothing left for an upstream.

--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -5,7 +5,10 @@
 import behave
 
 from features import fake_engine, router
+from papayaloom import clock
 from papayaloom.connection import caller, sse
+from papayaloom.process import watch
+from papayaloom.request import desk
 
 # The callers' limits are short, so that tests of slow callers end soon.
 LIMITS = caller.Limits(
@@ -292,12 +295,82 @@
     assert not context.router.desk.open_grants
 
 
+@behave.when('a caller asks for a stream with a deadline of {wait_ms:d} ms')
+def ask_with_deadline(context, wait_ms):
+    context.answer = ask(context, X_Deadline_Ms=str(wait_ms))
+
+
+@behave.then('the error names the setting "{path}"')
+def error_names(context, path):
+    document = json.loads(sse.Parser().feed(context.answer.data)[-1])
+    assert document['setting'] == path and document['status'] == 504
+    decisions = the_record(context)['decisions']
+    assert [entry['path'] for entry in decisions] == [path]
+
+
+@behave.when(
+    'a caller asks for a stream while engines may be silent for {idle_ms:d} ms'
+)
+def ask_impatiently(context, idle_ms):
+    start(context, stream__idle_s=idle_ms / 1000)
+    context.answer = ask(context)
+
+
+class CountingDesk:
+    def __init__(self):
+        self.renewed = []
+
+    def renew(self, grant):
+        self.renewed.append(grant.engine)
+
+
+@behave.given('a watch over 2 open requests on virtual time')
+def virtual_watch(context):
+    context.clock = clock.VirtualClock()
+    context.desk = CountingDesk()
+    context.watch = watch.Watch(context.desk, context.clock)
+    context.entries = [watch.Entry(60), watch.Entry(2)]
+    for number, entry in enumerate(context.entries):
+        entry.grant = desk.Grant(number, f'engine-{number}', '', renew_s=1)
+        context.watch.add(entry)
+
+
+@behave.when('3 s pass and the deadline of the second is at 2 s')
+def time_passes(context):
+    for _ in range(12):
+        context.watch.check()
+        context.clock.advance(0.25)
+
+
+@behave.then('the first was renewed 3 times and the second was stopped as late')
+def renewed_and_stopped(context):
+    assert context.desk.renewed.count('engine-0') == 3
+    stopped = [entry.stopped for entry in context.entries]
+    assert stopped == [watch.Stopped.NO, watch.Stopped.LATE]
+
+
+@behave.when('the desk fails with a timeout while a caller asks for a stream')
+def desk_fails(context):
+    def admit(_):
+        raise TimeoutError('timed out')
+
+    start(context).desk.admit = admit
+    context.answer = ask(context)
+
+
+@behave.then('the caller gets an internal error with the verdict "{verdict}"')
+def internal_error(context, verdict):
+    assert context.answer.status == 500
+    assert json.loads(context.answer.data)['verdict'] == verdict
+
+
 MALFORMED = {
     'two lengths of its body': (
         head('Content-Length: 2', 'Transfer-Encoding: chunked') + b'{}'
     ),
     'a negative length of its body': head('Content-Length: -2') + b'{}',
     'headers that never end': head()[:-2] + b'X-A: b\r\n',
+    'a body that never ends': head('Content-Length: 90') + b'{"model":',
     'a body that is cut off': head('Content-Length: 90') + b'{"model":',
     'headers longer than the limit': head(f'X-A: {"b" * 3000}'),
     'a body longer than the limit': head('Content-Length: 6000'),
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -68,6 +68,30 @@
     Then engine 1 is told to cancel the request
     And the grant is released as "abandoned"
 
+  Scenario: An answer that is late ends at its deadline and not later
+    Given an engine that pauses after token 2
+    When a caller asks for a stream with a deadline of 300 ms
+    Then the caller gets 2 tokens, an error event with the verdict "may have run" and no end mark
+    And the error names the setting "request.deadline_s"
+    And engine 1 is told to cancel the request
+
+  Scenario: An engine that is silent too long is left for another
+    Given an engine that pauses after token 1
+    And an engine that works
+    When a caller asks for a stream while engines may be silent for 100 ms
+    Then the caller gets every token once, and the end mark
+    And the outcomes of the tries are "failed, finished"
+
+  Scenario: Open requests renew their grants until they end
+    Given a watch over 2 open requests on virtual time
+    When 3 s pass and the deadline of the second is at 2 s
+    Then the first was renewed 3 times and the second was stopped as late
+
+  Scenario: A fault of the router itself is not reported as "not run"
+    Given an engine that works
+    When the desk fails with a timeout while a caller asks for a stream
+    Then the caller gets an internal error with the verdict "may have run"
+
   Scenario Outline: A malformed request is refused and harms no other request
     Given an engine that works
     When a caller sends <what>
@@ -80,6 +104,7 @@
       | two lengths of its body          | 400    |
       | a negative length of its body    | 400    |
       | headers that never end           | 408    |
+      | a body that never ends           | 408    |
       | a body that is cut off           | 400    |
       | headers longer than the limit    | 413    |
       | a body longer than the limit     | 413    |
--- a/papayaloom/bench/streaming_child.py
+++ b/papayaloom/bench/streaming_child.py
@@ -6,6 +6,7 @@
 
 import itertools
 import json
+import os
 import random
 import resource
 import sys
@@ -13,6 +14,7 @@
 import time
 
 import fire
+import structlog
 from cheroot import wsgi
 
 from papayaloom import clock, ids
@@ -61,6 +63,9 @@
 
 def router(engine: str, threads: int = 128) -> None:
     """Serve streams through a router front with the in-memory desk."""
+    # The log lines are made, but standard output belongs to the bench.
+    sink = open(os.devnull, 'w', encoding='utf-8')  # noqa: SIM115, WPS515
+    structlog.configure(logger_factory=structlog.PrintLoggerFactory(sink))
     values = {entry.path: entry.default for entry in requests.SETTINGS}
     values['retry.budget_ratio'] = 0.1
     office = desk.Desk(
--- a/papayaloom/connection/caller.py
+++ b/papayaloom/connection/caller.py
@@ -108,14 +108,23 @@
         if isinstance(msg, bytes):
             msg = msg.decode('latin-1')
         code, _, title = str(status).partition(' ')
+        # A 500 follows an unexpected exception, maybe after the request left.
+        verdict = (
+            errors.Verdict.MAY_HAVE_RUN
+            if code == '500'
+            else errors.Verdict.NOT_RUN
+        ).value
         body = errors.Problem(
-            title=title or 'refused', status=int(code), detail=msg
+            title=title or 'refused',
+            status=int(code),
+            detail=msg,
+            verdict=verdict,
         ).encode()
         head = (
             f'{self.server.protocol} {status}\r\n'
             f'Content-Length: {len(body)}\r\n'
             'Content-Type: application/problem+json\r\n'
-            f'X-Verdict: {errors.Verdict.NOT_RUN.value}\r\n'
+            f'X-Verdict: {verdict}\r\n'
             'Connection: close\r\n\r\n'
         )
         self.sent_headers = True
--- a/papayaloom/process/arrivals.py
+++ b/papayaloom/process/arrivals.py
@@ -35,6 +35,10 @@
     router: ids.RouterId = ids.RouterId('')
 
 
+class SlowBodyError(TimeoutError):
+    """The caller did not send its body in time; nothing ran."""
+
+
 class Arrived(msgspec.Struct):
     """A request of a known organisation.
 
@@ -102,6 +106,7 @@
 
     :raises papayaloom.errors.RefusedError: it is cut off, malformed or too
         long.
+    :raises SlowBodyError: it did not arrive in time.
     """
     try:
         content = environ['wsgi.input'].read()
@@ -109,6 +114,8 @@
         raise arrival.refused('body', 'too long', 413) from exc
     except ValueError as exc:
         raise arrival.refused('body', 'malformed chunks') from exc
+    except TimeoutError as exc:
+        raise SlowBodyError('timed out') from exc
     length = environ.get('CONTENT_LENGTH', '')
     if length and len(content) != int(length):
         raise arrival.refused('body', 'cut off')
--- a/papayaloom/process/http_front.py
+++ b/papayaloom/process/http_front.py
@@ -13,6 +13,7 @@
 
 import msgspec
 import result
+import structlog
 from cheroot import wsgi
 
 from papayaloom import errors
@@ -21,7 +22,13 @@
 from papayaloom.request import arrival, chat, prompt, record, splice
 
 _PROBLEM_TYPE = 'application/problem+json'
-_GONE = errors.Problem('the caller went away', 499)
+_GONE = errors.Problem(
+    'the caller went away', 499, verdict=errors.Verdict.MAY_HAVE_RUN.value
+)
+_FAULT = errors.Problem(
+    'internal error', 500, verdict=errors.Verdict.MAY_HAVE_RUN.value
+)
+_log = structlog.get_logger('front')
 Frames = typing.Iterator[bytes]
 Headers = list[tuple[str, str]]
 Start = typing.Callable[[str, Headers], typing.Any]
@@ -58,6 +65,15 @@
         except errors.RefusedError as exc:
             self.counts[f'refused {exc.problem.status}'] += 1
             return _refuse(exc.problem, start)
+        except arrivals.SlowBodyError:
+            # The server answers 408 and closes the connection.
+            raise
+        except Exception:
+            # The server would answer 408 to a TimeoutError from any part,
+            # with the verdict "not run", although the request may have left.
+            _log.exception('front: internal error', path=path)
+            self.counts['internal errors'] += 1
+            return _refuse(_FAULT, start)
 
     def dump(self) -> dict[str, object]:
         """Return a copy of the front's state and the desk's dump."""
@@ -240,6 +256,18 @@
         entry.seconds = self._parts.clock.monotonic() - req.at
         self.counts[f'{entry.kind} {verdict}'] += 1
         self._parts.kept.add(entry)
+        _log.info(
+            'front: request ended',
+            request=entry.request_id,
+            organisation=entry.organisation,
+            target=entry.target,
+            status=status,
+            verdict=verdict,
+            tries=len(entry.tries),
+            tokens=entry.tokens,
+            seconds=round(entry.seconds, 3),
+            problem=entry.problem,
+        )
 
 
 class Gateway(wsgi.Gateway_10):
