--- a/papayaloom/bench/fleet_net.py
+++ b/papayaloom/bench/fleet_net.py
@@ -173,6 +173,9 @@
         self.cut: typing.Callable[[ids.RouterId, ids.RouterId], bool] = (
             lambda *_: False
         )
+        # Seconds that all packets of some routers take more, both ways.
+        self.slow: dict[ids.RouterId, float] = {}
+        self._paused: dict[ids.RouterId, float] = {}
         self._loss = loss
         self._seed = seed
         self._rng = random.Random(seed)
@@ -194,6 +197,10 @@
         self._at(self.now + self._rng.uniform(0, TICK_S), 'tick', router)
         return router
 
+    def pause(self, router: ids.RouterId, seconds: float) -> None:
+        """Stop a router's process for a while; its packets wait."""
+        self._paused[router] = self.now + seconds
+
     def crash(self, router: ids.RouterId) -> Router:
         """End a router without a word."""
         return self.routers.pop(router)
@@ -224,6 +231,8 @@
             if target is None or lost or self.cut(sender.me.router, packet.to):
                 continue
             delay = _delay(sender.me, target.me) * self._rng.uniform(1, 1.5)
+            delay += self.slow.get(sender.me.router, 0)
+            delay += self.slow.get(packet.to, 0)
             self._at(self.now + delay, 'packet', (packet.to, packet.content))
 
     def commit(self) -> None:
@@ -249,6 +258,10 @@
     def _tick(self, router: Router) -> None:
         if self.routers.get(router.me.router) is not router:
             return
+        wakes = self._paused.get(router.me.router, 0)
+        if self.now < wakes:
+            self._at(wakes, 'tick', router)
+            return
         self.deliver(router, router.tick(self.now))
         self._at(self.now + TICK_S, 'tick', router)
         if self.now >= router.next_store:
@@ -289,7 +302,10 @@
 
     def _arrive(self, to: ids.RouterId, content: bytes) -> None:
         router = self.routers.get(to)
-        if router is not None:
+        wakes = self._paused.get(to, 0)
+        if self.now < wakes:
+            self._at(wakes, 'packet', (to, content))
+        elif router is not None:
             self.deliver(router, router.receive(content, self.now))
 
     def _settle(self) -> None:
--- a/papayaloom/process/change_log.py
+++ b/papayaloom/process/change_log.py
@@ -82,14 +82,11 @@
 
     def replace(self, content: bytes) -> bool:
         """Put a full state in force when it is newer."""
-        before = self._document.head().version
         try:
             self._document.replace(content)
         except errors.PapayaloomError:
             self.counts['full states refused'] += 1
             return False
-        if self._document.head().version <= before:
-            raise errors.SettingsError('a full state reverted the settings')
         self._kept.clear()
         self.needs_full = False
         return True
--- a/papayaloom/process/detection.py
+++ b/papayaloom/process/detection.py
@@ -41,7 +41,7 @@
     period_s: float = 1.0
     ack_timeout_s: float = 0.3
     indirect: int = 3
-    suspicion_s: float = 2.0
+    suspicion_s: float = 3.0
     confirm_s: float = 30.0
     gossip_s: float = 0.25
     fanout: int = 2
@@ -92,11 +92,18 @@
         updates: typing.Iterable[messages.Member],
         sender: ids.RouterId,
         now: float,
+        *,
+        is_copy: bool = False,
     ) -> _Sends:
-        """Merge updates and probe some of the new suspects."""
+        """Merge updates and probe some of the new suspects.
+
+        :param is_copy: see :meth:`papayaloom.process.view.View.take`.
+        """
         return [
             send
-            for suspect in self._view.take(updates, sender, now)
+            for suspect in self._view.take(
+                updates, sender, now, is_copy=is_copy
+            )
             for send in self._ping(suspect, now, accuses=True)
         ]
 
--- a/papayaloom/process/members.py
+++ b/papayaloom/process/members.py
@@ -56,6 +56,11 @@
         """Return the entry of a member, or nothing."""
         return self.entries.get(router)
 
+    def knows(self, router: ids.RouterId) -> bool:
+        """Return whether any router has heard of a member."""
+        entry = self.entries.get(router)
+        return entry is not None and entry.known
+
     def alive(self) -> list[Entry]:
         """Return the members that count as alive; don't change the list."""
         return self._grouped().alive
--- a/papayaloom/process/membership.py
+++ b/papayaloom/process/membership.py
@@ -147,6 +147,9 @@
         entry = self.table.get(sender)
         if entry is not None:
             entry.heard = now
+            if entry.member.state is _State.SUSPECT:
+                # It lives, only slowly; its refutation is on the way.
+                entry.since = now
         return sends
 
     def leave(self, now: float) -> _Sends:
@@ -231,7 +234,7 @@
         self, sender: ids.RouterId, part: messages.ViewPart, now: float
     ) -> _Sends:
         answer = self._compare.answered(part)
-        sends = self._detector.take(part.members, sender, now)
+        sends = self._detector.take(part.members, sender, now, is_copy=True)
         if answer is not None:
             sends.append(_send(sender, answer))
         return sends
--- a/papayaloom/process/rumours.py
+++ b/papayaloom/process/rumours.py
@@ -3,6 +3,7 @@
 import heapq
 import math
 import random
+import typing
 
 import msgspec
 
@@ -44,6 +45,10 @@
             self.repeat_factor * math.log10(size + 1)
         )
 
+    def drop(self, router: ids.RouterId) -> None:
+        """Pass a member's state on no more."""
+        self._left.pop(router, None)
+
     def pick(
         self, receiver: ids.RouterId, limit: int
     ) -> tuple[messages.Member, ...]:
@@ -51,24 +56,30 @@
 
         A receiver that is not plainly alive always hears of its own state, so
         that it can refute it. On first contact the sender introduces itself.
+        News of the sender itself goes first: it may be a refutation.
         """
         chosen: dict[ids.RouterId, None] = {}
         entry = self._table.get(receiver)
-        if entry is None or entry.heard < 0:
+        if entry is None or entry.heard < 0 or self._me in self._left:
             chosen[self._me] = None
         if entry is not None and entry.member.state in _BRIEF:
             chosen[receiver] = None
         freshest = heapq.nlargest(
             limit - len(chosen), self._left, key=self._left.__getitem__
         )
-        for router in freshest:
-            chosen[router] = None
-            self._left[router] -= 1
-            if self._left[router] <= 0:
-                self._left.pop(router)
+        chosen.update(dict.fromkeys(freshest))
+        self._count(chosen)
         entries = map(self._table.get, chosen)
         return tuple(self._form(known) for known in entries if known)
 
+    def _count(self, chosen: typing.Iterable[ids.RouterId]) -> None:
+        for router in chosen:
+            left = self._left.get(router, 1) - 1
+            if left:
+                self._left[router] = left
+            else:
+                self._left.pop(router, None)
+
     def _form(self, entry: members.Entry) -> messages.Member:
         member = entry.member
         if member.state not in _BRIEF:
--- a/papayaloom/process/view.py
+++ b/papayaloom/process/view.py
@@ -44,9 +44,13 @@
         updates: typing.Iterable[messages.Member],
         sender: ids.RouterId,
         now: float,
+        *,
+        is_copy: bool = False,
     ) -> list[ids.RouterId]:
         """Merge updates of another router.
 
+        :param is_copy: the updates are a copy of the sender's view; members
+            that are new to this router only are not passed on.
         :returns: suspects on which this router should give its own opinion.
         """
         doubtful: list[ids.RouterId] = []
@@ -54,9 +58,13 @@
             if update.router == self.me.router:
                 self._refute(update, now)
                 continue
-            for softened in suspicion.soften(self.table, update, sender):
-                if self.merge(softened, now) and self._is_asked():
-                    doubtful.append(update.router)
+            is_new = not self.table.knows(update.router)
+            softened = suspicion.soften(self.table, update, sender)
+            suspect = [self.merge(one, now) for one in softened]
+            if any(suspect) and self._is_asked():
+                doubtful.append(update.router)
+            if is_copy and is_new:
+                self.news.drop(update.router)
         return doubtful
 
     def merge(self, update: messages.Member, now: float) -> bool:
