--- a/papayaloom/process/bootstrap.py
+++ b/papayaloom/process/bootstrap.py
@@ -144,7 +144,7 @@
         fields = json5.loads(text)
     except Exception as exc:
         raise errors.SettingsError(
-            f'{path} is not JSON with comments: {exc}'
+            f'{path} is not JSON with comments: {_first_line(exc)}'
         ) from exc
     if not isinstance(fields, dict):
         raise errors.SettingsError(f'{path} must hold one object')
@@ -172,6 +172,13 @@
     return host, int(port)
 
 
+def _first_line(exc: Exception) -> str:
+    """Return what matters of the several lines of the parser's error."""
+    lines = [line.strip() for line in str(exc).splitlines()]
+    found = [line for line in lines if line.startswith('Syntax Error')]
+    return (found or lines or ['unknown reason'])[0]
+
+
 def _explain(fields: dict[str, typing.Any], shape: type[msgspec.Struct]) -> str:
     """Return one sentence about the first field that is wrong."""
     known = {field.name: field for field in msgspec.structs.fields(shape)}
