--- a/papayaloom/bench/placement.py
+++ b/papayaloom/bench/placement.py
@@ -210,10 +210,11 @@
     found = [
         ('load_over_cap', max(stats.over), 'ratio'),
         ('load_over_cap_always', max(stats.over_always), 'ratio'),
-        ('skew', float(np.percentile(stats.skews or [0], 99)), 'ratio'),
+        ('skew', _percentile(stats.skews or [0], 99), 'ratio'),
         ('cache_reuse', reuse, 'share'),
         ('refusals', stats.refused / arrived, 'share'),
         ('false_refusals', stats.falsely / arrived, 'share'),
+        ('first_token_p95', _percentile(stats.first_token_s, 95), 's'),
         ('late_share', stats.late / max(1, stats.answered), 'share'),
     ]
     if bound is not None:
@@ -239,6 +240,10 @@
     ]
 
 
+def _percentile(values: list[float], percent: int) -> float:
+    return float(np.percentile(values, percent))
+
+
 def _reuse(stats: worlds.Stats) -> float:
     return sum(stats.reused.values()) / max(1, sum(stats.prompt.values()))
 
--- a/papayaloom/bench/placement_policies.py
+++ b/papayaloom/bench/placement_policies.py
@@ -304,7 +304,7 @@
         pairs = set(itertools.product(side, others))
         pairs.update(itertools.product(others, side))
         self.cuts |= pairs
-        for one, other in pairs:
+        for one, other in sorted(pairs):
             self.see(one, messages.MemberState.DEAD, (5, 9), (other,))
         self.world.after(seconds, self._heal, pairs)
 
@@ -397,6 +397,7 @@
             return
         peers = [name for name in node.states if name != node.name]
         report = node.owner.report(self.world.now)
+        node.home.handle(node.name, report, self.world.now)
         chosen = self.rng.sample(peers, min(GOSSIP_FANOUT, len(peers)))
         self._send(
             node,
@@ -463,6 +464,8 @@
             self._send(node, sends)
             return
         self._send(node, node.owner.handle(sender, message, self.world.now))
+        if isinstance(message, messages.LoadReport):
+            node.home.handle(sender, message, self.world.now)
         if isinstance(message, messages.Release):
             self._push(node)
 
@@ -569,7 +572,7 @@
         answer: messages.Answer,
     ) -> None:
         now = self.world.now
-        node.home.saw(answer, now)
+        node.home.sights.answer(answer, now)
         found = node.searches.get(answer.ask)
         if found is None:
             if answer.state == messages.GrantState.GRANTED:
@@ -590,6 +593,7 @@
             self._step(node, search, job, step)
             return
         node.running.add(answer.ask, owner, answer.engine)
+        node.home.reused(ids.ChatId(job.chat), answer, now)
         self._used[job.number] = (node, answer.ask, answer.engine)
         if not self.world.start(job, answer.engine):
             job.tries += 1
@@ -667,5 +671,5 @@
         pairs: set[tuple[ids.RouterId, ids.RouterId]],
     ) -> None:
         self.cuts -= pairs
-        for one, other in pairs:
+        for one, other in sorted(pairs):
             self.see(one, messages.MemberState.ALIVE, (0.5, 2), (other,))
--- a/papayaloom/bench/placement_world.py
+++ b/papayaloom/bench/placement_world.py
@@ -222,6 +222,7 @@
         self.quiet = 0
         self.quiet_in_time = 0
         self.late = 0
+        self.first_token_s: list[float] = [0]
         self.answered = 0
         self.refused = 0
         self.falsely = 0
@@ -404,6 +405,7 @@
     def _first_token(self, job: Job) -> None:
         if job.arrival >= self.size.warm_s and job.started is not None:
             self.stats.answered += 1
+            self.stats.first_token_s.append(job.started - job.arrival)
             in_time = job.started <= job.deadline
             self.stats.quiet_in_time += in_time and job.quiet
             self.stats.late += not in_time
--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -76,6 +76,7 @@
     :param sequence: milliseconds of the sender's monotonic clock at the count.
     :param age_ms: how old the count was when this message was sent.
     :param finished: requests that have ended there since the router's start.
+    :param counts: running requests on each engine; a small fleet adds them.
     """
 
     router: ids.RouterId
@@ -85,6 +86,7 @@
     sequence: int
     age_ms: int
     finished: int = 0
+    counts: tuple[tuple[ids.EngineId, int], ...] = ()
 
 
 class Covered(msgspec.Struct, frozen=True, array_like=True):
--- a/papayaloom/process/admission.py
+++ b/papayaloom/process/admission.py
@@ -27,6 +27,7 @@
     :param most_running: highest load of an engine, whatever the mean.
     :param reserve: share of the highest load that is kept for organisations
         with less than their share of an engine.
+    :param small_fleet: most members with which load reports name the engines.
     :param hold_s: seconds for which a grant lives without a renewal.
     :param refuse_factor: a request is refused at once when its estimated wait
         is longer than this many times the time that it can wait.
@@ -35,6 +36,7 @@
     load_multiple: float = 1.15
     most_running: int = 64
     reserve: float = 0.1
+    small_fleet: int = 12
     hold_s: float = 10
     refuse_factor: float = 2
     rank: ranks.Cfg = ranks.Cfg()
@@ -223,11 +225,15 @@
 
     def report(self, now: float) -> messages.LoadReport:
         """Return the load report to be gossiped."""
+        counts: tuple[tuple[ids.EngineId, int], ...] = ()
+        if len(self.ranks.ranked) <= self._cfg.small_fleet:
+            counts = self.holds.handover().engines
         return self.loads.report(
             self.running(now),
             len(self.engines.live),
             self.holds.finished,
             now,
+            counts,
         )
 
     def running(self, now: float) -> int:
--- a/papayaloom/process/loads.py
+++ b/papayaloom/process/loads.py
@@ -221,9 +221,11 @@
         engines: int,
         finished: int,
         now: float,
+        counts: tuple[tuple[ids.EngineId, int], ...] = (),
     ) -> messages.LoadReport:
         """Return own subtotal and the newest ones known of others.
 
+        :param counts: running requests on each engine, in a small fleet.
         :param finished: own requests that have ended since the start.
         """
         self._told = finished
@@ -235,6 +237,7 @@
             round(now * 1000),
             0,
             finished,
+            counts,
         )
         others = [
             msgspec.structs.replace(
--- a/papayaloom/process/placement.py
+++ b/papayaloom/process/placement.py
@@ -8,10 +8,13 @@
 import msgspec
 
 from papayaloom import hashing, ids, messages
-from papayaloom.process import rights
+from papayaloom.process import rights, sights
 
 _RING_CANDIDATES = 4
 
+# Weight of one chat among those that show how long caches live.
+_LEARNING = 0.2
+
 # Pause before a request that nobody admits asks its candidates again.
 _ROUND_S = 0.5
 
@@ -24,9 +27,12 @@
     :param hints: most hints kept.
     :param load_memory_s: seconds for which an engine's load in an answer is
         taken into account.
+    :param cache_s: first guess of the seconds that an unused cache lives.
     :param failed_s: seconds for which an engine that broke a connection is no
         candidate, until the list of engines shows whether it is gone.
     :param queue_wait_s: longest time that a request waits at an engine.
+    :param keep_wait_s: longest time that a chat waits for the engine which
+        has its cache, before it asks another.
     :param prefill_tokens_per_s: speed of computing a prompt.
     :param transfer_bytes_per_s: speed of moving a cache between engines.
     :param transfer_fixed_s: time to begin a move.
@@ -37,8 +43,10 @@
     hint_s: float = 14400
     hints: int = 20000
     load_memory_s: float = 2
+    cache_s: float = 120
     failed_s: float = 3
     queue_wait_s: float = 5
+    keep_wait_s: float = 1
     prefill_tokens_per_s: float = 8000
     transfer_bytes_per_s: float = 2e9
     transfer_fixed_s: float = 0.1
@@ -70,14 +78,6 @@
     used: float
 
 
-class Seen(msgspec.Struct, frozen=True):
-    """Load of an engine in an owner's newest answer."""
-
-    load: int
-    cap: int
-    at: float
-
-
 class Move(enum.Enum):
     """How a chat's cache gets to another engine."""
 
@@ -98,10 +98,29 @@
 
 
 class Dump(msgspec.Struct, frozen=True):
-    """State of the home side."""
+    """State of the home side.
+
+    :param cache_lifetime_s: idle time up to which caches are expected to live.
+    """
 
     hints: int
-    engines_seen: int
+    cache_lifetime_s: float
+
+
+class Lifetime:
+    """How long unused caches live, learned from chats that come back.
+
+    :param seconds: first guess.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        """Start with a guess."""
+        self.seconds = seconds
+
+    def learn(self, idle_s: float, *, hit: bool) -> None:
+        """Note whether a cache that was idle for some seconds was found."""
+        if hit == (idle_s > self.seconds):
+            self.seconds += _LEARNING * (idle_s - self.seconds)
 
 
 class Home:
@@ -125,14 +144,16 @@
         self._hints: collections.OrderedDict[ids.ChatId, Kept] = (
             collections.OrderedDict()
         )
-        self._seen: dict[ids.EngineId, Seen] = {}
+        self.sights = sights.Sights(cfg.load_memory_s)
         self._ring: hashing.Ring[ids.EngineId] = hashing.Ring(())
         self._live: frozenset[ids.EngineId] = frozenset()
+        self._lifetime = Lifetime(cfg.cache_s)
         self._failed: dict[ids.EngineId, float] = {}
 
     def configure(self, cfg: Cfg) -> None:
         """Take new weights."""
         self._cfg = cfg
+        self.sights.memory_s = cfg.load_memory_s
 
     def update_engines(self, live: typing.Iterable[ids.EngineId]) -> None:
         """Take the newest list of the model's live engines."""
@@ -140,6 +161,7 @@
         if serving != self._live:
             self._live = serving
             self._ring = hashing.Ring(serving)
+            self.sights.keep(serving)
 
     def handle(
         self,
@@ -166,7 +188,9 @@
                 for handed in message.hints:
                     self._take(handed, now)
             case messages.Answer():
-                self.saw(message, now)
+                self.sights.answer(message, now)
+            case messages.LoadReport():
+                self.sights.report(message, now)
         return []
 
     def hint(self, chat: ids.ChatId) -> Kept | None:
@@ -188,26 +212,33 @@
         turns = earlier.turns + 1 if earlier else 1
         self._keep(chat, Kept(engine, tokens, turns, now))
 
-    def saw(self, answer: messages.Answer, now: float) -> None:
-        """Note the load of an engine in an answer."""
-        if answer.cap:
-            self._seen[answer.engine] = Seen(answer.load, answer.cap, now)
-
     def failed(self, engine: ids.EngineId, now: float) -> None:
         """Note that an engine broke a connection."""
         self._failed[engine] = now + self._cfg.failed_s
 
+    def reused(
+        self,
+        chat: ids.ChatId,
+        answer: messages.Answer,
+        now: float,
+    ) -> None:
+        """Learn how long caches live from what a chat found at its engine."""
+        kept = self._hints.get(chat)
+        if kept is None or kept.engine != answer.engine:
+            return
+        hit = 2 * answer.cached_tokens >= kept.tokens
+        self._lifetime.learn(now - kept.used, hit=hit)
+
     def candidates(self, request: Request, now: float) -> list[Candidate]:
         """Return the engines worth asking, best first."""
-        scored = [
-            Candidate(
-                engine,
-                tokens,
-                self._score(engine, tokens, request, now),
-                reason,
-            )
-            for engine, (tokens, reason) in self._found(request, now).items()
-        ]
+        scored = []
+        for engine, (tokens, reason) in self._found(request, now).items():
+            filled = self.sights.filled(engine, now)
+            # The last digits differ between routers, so that equal candidates
+            # do not draw the chats of all of them at once.
+            filled += self._rng.random() / 1000
+            score = _score(self._cfg, tokens, request, filled)
+            scored.append(Candidate(engine, tokens, score, reason))
         return sorted(scored, key=lambda one: one.score, reverse=True)
 
     def handover(
@@ -242,12 +273,7 @@
 
     def dump(self, now: float) -> Dump:
         """Return the state for the status dump."""
-        recent = [
-            seen
-            for seen in self._seen.values()
-            if now - seen.at < self._cfg.load_memory_s
-        ]
-        return Dump(len(self._hints), len(recent))
+        return Dump(len(self._hints), self._lifetime.seconds)
 
     def _found(
         self,
@@ -255,21 +281,29 @@
         now: float,
     ) -> dict[ids.EngineId, tuple[int, str]]:
         """Return engines, the tokens they have cached, and why they stand."""
-        found: dict[ids.EngineId, tuple[int, str]] = {}
-        kept = self._hints.get(request.chat)
-        if kept and kept.engine in self._live:
-            found[kept.engine] = (kept.tokens, 'last engine')
+        found = self._last(request.chat, now)
         for holder, shared in self._holders(request).items():
-            if holder in self._live:
-                found.setdefault(holder, (shared, 'shared prefix'))
+            found.setdefault(holder, (shared, 'shared prefix'))
         for near in self._ring.candidates(request.chat, _RING_CANDIDATES):
             found.setdefault(near, (0, 'ring'))
+        serving = {one: found[one] for one in found if one in self._live}
         usable = {
-            engine: known
-            for engine, known in found.items()
-            if self._failed.get(engine, now) <= now
+            one: known
+            for one, known in serving.items()
+            if self._failed.get(one, now) <= now
         }
-        return usable or found
+        return usable or serving
+
+    def _last(
+        self,
+        chat: ids.ChatId,
+        now: float,
+    ) -> dict[ids.EngineId, tuple[int, str]]:
+        kept = self._hints.get(chat)
+        if kept is None:
+            return {}
+        alive = now - kept.used < self._lifetime.seconds
+        return {kept.engine: (kept.tokens * alive, 'last engine')}
 
     def _take(self, hint: messages.Hint, now: float) -> None:
         earlier = self._hints.get(hint.chat)
@@ -285,23 +319,16 @@
         if len(self._hints) > self._cfg.hints:
             self._hints.popitem(last=False)
 
-    def _score(
-        self,
-        engine: ids.EngineId,
-        tokens: int,
-        request: Request,
-        now: float,
-    ) -> float:
-        weight = self._cfg.reuse_weight
-        reused = min(1, tokens / max(request.prompt_tokens, 1))
-        seen = self._seen.get(engine)
-        filled: float = 1
-        if seen and now - seen.at < self._cfg.load_memory_s:
-            filled = seen.load / seen.cap
-        # The last digits differ between routers, so that equal candidates do
-        # not draw the chats of all of them at once.
-        noise = self._rng.random() / 1000
-        return weight * reused - (1 - weight) * filled + noise
+
+def _score(
+    cfg: Cfg,
+    tokens: int,
+    request: Request,
+    filled: float,
+) -> float:
+    """Return a candidate's score, higher is better."""
+    reused = min(1, tokens / max(request.prompt_tokens, 1))
+    return cfg.reuse_weight * reused - (1 - cfg.reuse_weight) * filled
 
 
 def move(cfg: Cfg, tokens: int) -> Move:
@@ -415,7 +442,10 @@
         if self._left and now < self._request.deadline:
             candidate = self._left.popleft()
             self._asked[candidate.engine] = candidate
-            return self._ask(candidate, 0, now)
+            # Waiting for a cache costs less than computing a long prompt.
+            keeps = 2 * candidate.cached_tokens >= self._request.prompt_tokens
+            wait_s = self._cfg.keep_wait_s if keeps else 0
+            return self._ask(candidate, wait_s, now)
         if self._full and now < self._request.deadline:
             # Denials change while others queue, so each engine is asked again.
             shortest = min(self._full)
--- a/papayaloom/process/running.py
+++ b/papayaloom/process/running.py
@@ -29,7 +29,7 @@
         self._used: dict[int, Used] = {}
         self._renewed = float('-inf')
         self._released: list[messages.Send] = []
-        self._ended: set[Used] = set()
+        self._ended: dict[Used, None] = {}
 
     def __len__(self) -> int:
         """Return how many grants are in use."""
@@ -62,7 +62,7 @@
             return []
         send = _release(ask, used, finished, crashed, tokens)
         self._released.append(send)
-        self._ended.add(used)
+        self._ended[used] = None
         return [send]
 
     def tick(
