--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -352,10 +352,13 @@
 class Suspects(Message, frozen=True, array_like=True):
     """Fingerprints of requests that ran on an upstream when it crashed.
 
-    :param crashes: pairs of fingerprint and identifier of the crash.
+    :param crashes: pairs of fingerprint and identifier of the crash, which is
+        the upstream, ``#`` and a number.
+    :param ran_s: how long each of the requests had run, in seconds.
     """
 
     crashes: tuple[tuple[ids.Fingerprint, str], ...]
+    ran_s: tuple[float, ...] = ()
 
 
 class UpstreamLeaving(Message, frozen=True, array_like=True):
--- a/papayaloom/process/engines.py
+++ b/papayaloom/process/engines.py
@@ -36,6 +36,8 @@
         """Start without engines."""
         self._cfg = cfg
         self._since: dict[ids.EngineId, float] = {}
+        # New engines alone, so that no admission looks at all of them.
+        self._young: dict[ids.EngineId, float] = {}
         self._lost: dict[ids.EngineId, float] = {}
         self._leaving: frozenset[ids.EngineId] = frozenset()
         self._live: frozenset[ids.EngineId] = frozenset()
@@ -68,8 +70,11 @@
         before = set(self._since)
         for engine in serving - before:
             self._since[engine] = now if self._known else now - 1e9
+            if self._known:
+                self._young[engine] = now
         for left in before - serving:
             self._since.pop(left)
+            self._young.pop(left, None)
             self._lost[left] = now
         self._known = self._known or bool(serving)
         self._live = frozenset(serving)
@@ -90,14 +95,14 @@
         router sends it a request, and not much earlier, because a larger
         number lowers the cap of all others.
         """
-        young = self._cfg.announce_s / 4
-        counted = sum(now - since >= young for since in self._since.values())
+        early_s = self._cfg.announce_s / 4
+        early = sum(now - since < early_s for since in self._young.values())
         gone_s = self._cfg.gone_s
         lost = sum(
             now - at < gone_s and engine not in self._since
             for engine, at in self._lost.items()
         )
-        return max(counted + lost, 1)
+        return max(len(self._since) - early + lost, 1)
 
     def warm_share(
         self,
@@ -121,8 +126,13 @@
         return min(1, max(rising, self._least_share(multiple, now), 1e-9))
 
     def _least_share(self, multiple: float, now: float) -> float:
-        full = self._cfg.announce_s + self._cfg.warm_up_s
-        warming = sum(now - since < full for since in self._since.values())
+        full_s = self._cfg.announce_s + self._cfg.warm_up_s
+        self._young = {
+            engine: since
+            for engine, since in self._young.items()
+            if now - since < full_s
+        }
+        warming = len(self._young)
         count = len(self._since)
         needed = count / multiple - (count - warming)
         return _FLOOR_SLACK * needed / max(warming, 1)
--- a/papayaloom/process/quarantine.py
+++ b/papayaloom/process/quarantine.py
@@ -1,7 +1,7 @@
 """Quarantine of requests that crash the upstreams which run them."""
 
-import collections
 import enum
+import math
 import typing
 
 import msgspec
@@ -10,10 +10,15 @@
 from papayaloom import ids, messages
 
 
+_DAY_S = 86400
+
+
 class Cfg(msgspec.Struct, frozen=True):
     """When a fingerprint is condemned.
 
     :param crash_limit: crashes on different upstreams that condemn.
+    :param harmful_share: share of requests that are assumed to crash what runs
+        them; a crash after a long run is weak evidence by itself.
     :param memory_s: seconds for which a suspicion is kept.
     :param condemned_s: seconds for which a condemnation is kept.
     :param mass_window_s: window in which crashes are compared.
@@ -23,6 +28,7 @@
     """
 
     crash_limit: int = 2
+    harmful_share: float = 1e-6
     memory_s: float = 600
     condemned_s: float = 86400
     mass_window_s: float = 10
@@ -38,13 +44,25 @@
     REFUSED = 'refused'
 
 
+class Crash(msgspec.Struct, frozen=True):
+    """A crash of an upstream that ran a fingerprint.
+
+    :param at: when it was heard of, in seconds.
+    :param ran_s: how long the request had run.
+    """
+
+    at: float
+    ran_s: float
+
+
 class Suspicion(msgspec.Struct):
     """Crashes of upstreams that ran a fingerprint.
 
-    :param crashes: newest crash of each upstream, by the time it was heard.
+    :param crashes: newest crash of each upstream.
+    :param condemned: when it was condemned; nothing while it is suspect.
     """
 
-    crashes: dict[str, float]
+    crashes: dict[str, Crash]
     condemned: float | None = None
 
 
@@ -55,14 +73,42 @@
     return ids.Fingerprint(digest.hexdigest())
 
 
+class Runs(msgspec.Struct):
+    """Running requests of one fingerprint at one upstream."""
+
+    count: int
+    since: float
+
+
+class Background:
+    """Rate of crashes that no condemned request explains."""
+
+    def __init__(self) -> None:
+        """Start as if each upstream crashed once a day."""
+        self.upstreams = 1
+        self._since: float | None = None
+        self._crashes = 0
+
+    def crashed(self) -> None:
+        """Count a crash."""
+        self._crashes += 1
+
+    def chance(self, ran_s: float, now: float) -> float:
+        """Return how likely an upstream crashes in some seconds by itself."""
+        if self._since is None:
+            self._since = now
+        watched_s = self.upstreams * (now - self._since) + _DAY_S
+        return min(1, max(ran_s, 1) * (self._crashes + 1) / watched_s)
+
+
 class Quarantine:
     """Suspect and condemned fingerprints known to one router."""
 
     def __init__(self, cfg: Cfg) -> None:
         """Start without suspicions."""
         self._cfg = cfg
-        self._upstreams = 1
-        self._running: dict[str, collections.Counter[ids.Fingerprint]] = {}
+        self._background = Background()
+        self._running: dict[str, dict[ids.Fingerprint, Runs]] = {}
         self._suspicions: dict[ids.Fingerprint, Suspicion] = {}
         self._crashes: dict[str, float] = {}
         self._number = 0
@@ -75,7 +121,7 @@
 
     def update_upstreams(self, count: int) -> None:
         """Take the number of upstreams that serve the same target."""
-        self._upstreams = max(count, 1)
+        self._background.upstreams = max(count, 1)
 
     def treatment(self, mark: ids.Fingerprint, now: float) -> Treatment:
         """Return how a request is placed."""
@@ -85,7 +131,7 @@
         if suspicion.condemned is not None:
             if now - suspicion.condemned < self._cfg.condemned_s:
                 return Treatment.REFUSED
-        newest = max(suspicion.crashes.values())
+        newest = max(crash.at for crash in suspicion.crashes.values())
         if now - newest < self._cfg.memory_s:
             return Treatment.APART
         self._suspicions.pop(mark)
@@ -105,10 +151,15 @@
             if any(other in self._suspicions for other in marks)
         }
 
-    def started(self, mark: ids.Fingerprint, upstream: str) -> None:
+    def started(
+        self,
+        mark: ids.Fingerprint,
+        upstream: str,
+        now: float,
+    ) -> None:
         """Note that a request runs on an upstream."""
-        marks = self._running.setdefault(upstream, collections.Counter())
-        marks[mark] += 1
+        marks = self._running.setdefault(upstream, {})
+        marks.setdefault(mark, Runs(0, now)).count += 1
 
     def finished(
         self,
@@ -121,10 +172,11 @@
 
         :param ran: it ran to its end, which clears it from suspicion.
         """
-        marks = self._running.get(upstream)
-        if marks is not None:
-            marks[mark] -= 1
-            if marks[mark] <= 0:
+        marks = self._running.get(upstream, {})
+        runs = marks.get(mark)
+        if runs is not None:
+            runs.count -= 1
+            if not runs.count:
                 marks.pop(mark)
         suspicion = self._suspicions.get(mark)
         if ran and suspicion and suspicion.condemned is None:
@@ -135,11 +187,17 @@
 
         :returns: what was running there, for the other routers.
         """
-        marks = list(self._running.pop(upstream, ()))
+        ran = {
+            mark: now - runs.since
+            for mark, runs in self._running.pop(upstream, {}).items()
+        }
         self._number += 1
         crash = f'{upstream}#{self._number}'
-        self._blame(upstream, marks, now)
-        return messages.Suspects(tuple((mark, crash) for mark in marks))
+        self._blame(upstream, ran, now)
+        return messages.Suspects(
+            tuple((mark, crash) for mark in ran),
+            tuple(ran.values()),
+        )
 
     def handle(
         self,
@@ -148,12 +206,12 @@
         now: float,
     ) -> list[messages.Send]:
         """Take the suspects of another router."""
-        blamed: dict[str, list[ids.Fingerprint]] = {}
-        for mark, crash in message.crashes:
+        blamed: dict[str, dict[ids.Fingerprint, float]] = {}
+        for (mark, crash), ran_s in zip(message.crashes, message.ran_s):
             upstream = crash.rpartition('#')[0]
-            blamed.setdefault(upstream, []).append(mark)
-        for crashed, marks in blamed.items():
-            self._blame(crashed, marks, now)
+            blamed.setdefault(upstream, {})[mark] = ran_s
+        for crashed, ran in blamed.items():
+            self._blame(crashed, ran, now)
         return []
 
     def explained(self, marks: typing.Iterable[ids.Fingerprint]) -> bool:
@@ -177,33 +235,38 @@
     def _blame(
         self,
         upstream: str,
-        marks: list[ids.Fingerprint],
+        ran: dict[ids.Fingerprint, float],
         now: float,
     ) -> None:
         """Hold a crash against the fingerprints that were running."""
         self._crashes[upstream] = now
-        if self.explained(marks):
+        if self.explained(ran):
             return
-        for mark in marks:
+        for mark, ran_s in ran.items():
             if mark not in self._cfg.released:
                 suspicion = self._suspicions.setdefault(mark, Suspicion({}))
-                suspicion.crashes[upstream] = now
-        if self._mass(now):
-            return
-        for suspect in marks:
-            self._judge(suspect, now)
+                suspicion.crashes[upstream] = Crash(now, ran_s)
+        if not self._mass(now):
+            for suspect in ran:
+                self._judge(suspect, now)
+        self._background.crashed()
 
     def _judge(self, mark: ids.Fingerprint, now: float) -> None:
+        """Condemn when chance is the less likely explanation."""
         suspicion = self._suspicions.get(mark)
         if suspicion is None or suspicion.condemned is not None:
             return
         recent = [
-            upstream
-            for upstream, at in suspicion.crashes.items()
-            if now - at < self._cfg.memory_s
+            crash
+            for crash in suspicion.crashes.values()
+            if now - crash.at < self._cfg.memory_s
         ]
+        chance = math.prod(
+            self._background.chance(crash.ran_s, now) for crash in recent
+        )
         if len(recent) >= self._cfg.crash_limit:
-            suspicion.condemned = now
+            if chance <= self._cfg.harmful_share:
+                suspicion.condemned = now
 
     def _mass(self, now: float) -> bool:
         """Tell whether many upstreams crash at once, as in a power cut."""
@@ -214,5 +277,5 @@
             if now - at < window
         }
         # Two are the fewest that are no coincidence in a small fleet.
-        many = max(2, self._cfg.mass_share * self._upstreams)
+        many = max(2, self._cfg.mass_share * self._background.upstreams)
         return len(self._crashes) > many
--- a/papayaloom/version/declarations/quarantine.py
+++ b/papayaloom/version/declarations/quarantine.py
@@ -13,6 +13,16 @@
         axis=setting.Axis.FLEET,
         doc='Crashes on different upstreams that condemn a request.',
     ),
+    setting.Setting(
+        path='quarantine.harmful_share',
+        kind=setting.Kind.NUMBER,
+        unit=setting.Unit.SHARE,
+        default=0.000001,
+        low=0,
+        high=1.0,
+        axis=setting.Axis.FLEET,
+        doc='Share of requests that are assumed to crash what runs them.',
+    ),
     setting.Setting(
         path='quarantine.memory_s',
         kind=setting.Kind.NUMBER,
