--- a/papayaloom/bench/placement_policies.py
+++ b/papayaloom/bench/placement_policies.py
@@ -15,6 +15,7 @@
 ONE_WAY_S = 0.0015
 ANSWER_TIMEOUT_S = 0.05
 GOSSIP_FANOUT = 2
+PUSH_MEMBERS = 12
 MISROUTED = 0.03
 
 
@@ -206,7 +207,7 @@
             rng,
             lambda request: self.holders.find(request.prefixes),
         )
-        self.running = running.Running(cfg.owner.hold_s / 4)
+        self.running = running.Running(1)
         self.searches: dict[int, tuple[placement.Search, worlds.Job]] = {}
         self.paused = False
         self.inbox: list[tuple[ids.RouterId, messages.Message]] = []
@@ -226,6 +227,7 @@
     """Routers with homes, owners and the messages between them.
 
     :param loss: share of control messages that are lost.
+    :param missing: share of load reports that are lost besides.
     :param late: bounds in seconds of an extra delay of load reports.
     """
 
@@ -235,12 +237,14 @@
         rng: random.Random,
         cfg: FleetCfg,
         loss: float = 0.01,
+        missing: float = 0,
         late: tuple[float, float] = (0, 0),
     ) -> None:
         """Build the routers."""
         super().__init__(world, rng)
         self._cfg = cfg
         self.loss = loss
+        self.missing = missing
         self.late = late
         self.cuts: set[tuple[ids.RouterId, ids.RouterId]] = set()
         self.nodes: dict[ids.RouterId, Node] = {}
@@ -306,7 +310,11 @@
 
     def arrive(self, job: worlds.Job) -> None:
         """Give a request to its home, or now and then to another router."""
-        alive = [name for name, node in self.nodes.items() if not node.paused]
+        alive = [
+            name
+            for name, node in self.nodes.items()
+            if not node.paused and node.owner.ranks.quorate
+        ]
         home = hashing.rank(job.chat, alive)[0]
         if self.rng.random() < MISROUTED:
             strange = self.nodes[self.rng.choice(alive)]
@@ -357,7 +365,7 @@
         node = Node(name, self._cfg, random.Random(self.rng.random()))
         self.nodes[name] = node
         node.owner.update_engines(self.world.engines, (), self.world.now)
-        node.home.update_engines(self.world.engines)
+        node.home.update_engines(list(self.world.engines))
         return node
 
     def _announced(self, engine: ids.EngineId) -> bool:
@@ -378,8 +386,7 @@
         self._send(node, node.owner.tick(self.world.now))
         ranks = node.owner.ranks
         sends = node.running.tick(
-            lambda engine: ranks.order(engine)[0],
-            ranks.ranked,
+            ranks.order,
             self.world.now,
         )
         self._send(node, sends)
@@ -405,18 +412,25 @@
             answer = send.message
             if isinstance(answer, messages.Answer):
                 self._count(send.to, answer)
-            delay: float = 0
-            if send.to != node.name:
-                if (node.name, send.to) in self.cuts:
-                    continue
-                if self.rng.random() < self.loss:
-                    continue
-                delay = ONE_WAY_S * self.rng.uniform(0.3, 1.5)
-                if isinstance(answer, messages.LoadReport):
-                    delay += self.rng.uniform(*self.late)
-            self.world.after(
-                delay, self._deliver, send.to, node.name, answer, now
-            )
+            delay = self._delay(node.name, send)
+            if delay is not None:
+                self.world.after(
+                    delay, self._deliver, send.to, node.name, answer, now
+                )
+
+    def _delay(self, sender: ids.RouterId, send: messages.Send) -> float | None:
+        """Return a message's time on the way, or nothing when it is lost."""
+        if send.to == sender:
+            return 0
+        report = isinstance(send.message, messages.LoadReport)
+        loss = self.loss
+        late_s: float = 0
+        if report:
+            loss += self.missing
+            late_s = self.rng.uniform(*self.late)
+        if (sender, send.to) in self.cuts or self.rng.random() < loss:
+            return None
+        return late_s + ONE_WAY_S * self.rng.uniform(0.3, 1.5)
 
     def _count(self, home: ids.RouterId, answer: messages.Answer) -> None:
         """Compare an admission with the true cap at the owner's decision."""
@@ -449,10 +463,29 @@
             self._send(node, sends)
             return
         self._send(node, node.owner.handle(sender, message, self.world.now))
+        if isinstance(message, messages.Release):
+            self._push(node)
+
+    def _push(self, node: Node) -> None:
+        """Tell all members of a small fleet that requests have ended."""
+        untold = node.owner.loads.untold(node.owner.holds.finished)
+        if untold and len(self.nodes) <= PUSH_MEMBERS:
+            full = node.owner.report(self.world.now)
+            report = messages.LoadReport(full.loads[:1])
+            priority = messages.Priority.LOAD
+            self._send(
+                node,
+                [
+                    messages.Send(peer, report, priority)
+                    for peer in node.states
+                    if peer != node.name
+                ],
+            )
 
     def _search(self, node: Node, job: worlds.Job) -> None:
         now = self.world.now
-        if node.paused:
+        if node.paused or not node.owner.ranks.quorate:
+            # The caller goes to another address of its list.
             self.world.after(0.1, self.arrive, job)
             return
         request = placement.Request(
@@ -481,11 +514,19 @@
     ) -> None:
         if step.action == placement.Next.REFUSE:
             self.world.refuse(job)
+        elif step.action == placement.Next.LATER:
+            self.world.after(
+                step.retry_after_s,
+                self._again,
+                node,
+                search,
+                job,
+            )
         elif step.ask is not None:
             ask = step.ask
             node.searches[ask.ask] = (search, job)
             self._tries[(node.name, ask.ask)] = job
-            owner = node.owner.ranks.order(ask.engine)[0]
+            owner = node.owner.ranks.target(ask.engine, other=step.other)
             priority = messages.Priority.ADMISSION
             self._send(node, [messages.Send(owner, ask, priority)])
             self.world.after(
@@ -496,6 +537,14 @@
                 owner,
             )
 
+    def _again(
+        self,
+        node: Node,
+        search: placement.Search,
+        job: worlds.Job,
+    ) -> None:
+        self._step(node, search, job, search.again(self.world.now))
+
     def _timeout(
         self,
         node: Node,
@@ -511,7 +560,7 @@
         release = messages.Release(ask.ask, ask.engine, finished=False)
         priority = messages.Priority.ADMISSION
         self._send(node, [messages.Send(owner, release, priority)])
-        self._step(node, search, job, search.lost(self.world.now))
+        self._step(node, search, job, search.lost(ask.engine, self.world.now))
 
     def _answered(
         self,
@@ -560,11 +609,21 @@
             for node in self.nodes.values():
                 if node.name in node.owner.ranks.order(name):
                     delay = self.world.rng.uniform(*self.world.lag)
-                    self.world.after(delay, self._read, node, name, count)
+                    taken = self.world.now
+                    self.world.after(
+                        delay, self._read, node, name, count, taken
+                    )
 
-    def _read(self, node: Node, engine: ids.EngineId, count: int) -> None:
+    def _read(
+        self,
+        node: Node,
+        engine: ids.EngineId,
+        count: int,
+        taken: float,
+    ) -> None:
         if not node.paused:
-            node.owner.engine_report(engine, count, self.world.now)
+            now = self.world.now
+            node.owner.engine_report(engine, count, taken, now)
 
     def _learn(self, node: Node) -> None:
         engines = self.world.engines
--- a/papayaloom/process/admission.py
+++ b/papayaloom/process/admission.py
@@ -1,5 +1,6 @@
 """Owner side: admits requests to the engines for which this router ranks."""
 
+import math
 import typing
 
 import msgspec
@@ -24,6 +25,8 @@
 
     :param load_multiple: highest load of an engine over the mean load.
     :param most_running: highest load of an engine, whatever the mean.
+    :param reserve: share of the highest load that is kept for organisations
+        with less than their share of an engine.
     :param hold_s: seconds for which a grant lives without a renewal.
     :param refuse_factor: a request is refused at once when its estimated wait
         is longer than this many times the time that it can wait.
@@ -31,6 +34,7 @@
 
     load_multiple: float = 1.15
     most_running: int = 64
+    reserve: float = 0.1
     hold_s: float = 10
     refuse_factor: float = 2
     rank: ranks.Cfg = ranks.Cfg()
@@ -167,11 +171,18 @@
         self,
         engine: ids.EngineId,
         running: int,
+        taken: float,
         now: float,
     ) -> None:
-        """Take an engine's own count of running requests."""
-        self.holds.correct(engine, running, now)
-        self.rights.reported(engine, running, now)
+        """Take an engine's own count of running requests.
+
+        :param taken: when the engine was asked, in seconds of this router's
+            clock; the count is not older.
+        """
+        self.holds.correct(engine, running, taken, now)
+        self.rights.reported(engine, running, taken)
+        foreign = max(0, running - self.holds.count(engine))
+        self.loads.cover(engine, self.ranks.order(engine)[0], foreign, taken)
 
     def handle(
         self,
@@ -207,29 +218,30 @@
             sends.extend(self._serve(engine, now))
         renew_s = self._cfg.promise.renew_s
         sends.extend(self.rights.tick(self.engines.live, renew_s, now))
-        self.loads.observe(self.holds.finished, self.running(), now)
+        self.loads.observe(self.holds.finished, self.running(now), now)
         return sends
 
     def report(self, now: float) -> messages.LoadReport:
         """Return the load report to be gossiped."""
-        return self.loads.report(self.running(), len(self.engines.live), now)
-
-    def running(self) -> int:
-        """Return own grants on live engines."""
-        live = self.engines.live
-        return sum(
-            self.holds.count(engine)
-            for engine in self.holds.engines()
-            if engine in live
+        return self.loads.report(
+            self.running(now),
+            len(self.engines.live),
+            self.holds.finished,
+            now,
         )
 
+    def running(self, now: float) -> int:
+        """Return a lower estimate of own grants on live engines."""
+        rate = self.loads.finish_rate
+        return self.holds.lower(self.engines.live, rate, now)
+
     def room(self, engine: ids.EngineId, now: float) -> Room:
         """Tell whether an engine has room for one more request."""
         ceiling = 0
         multiple = self._cfg.load_multiple
         share = self.engines.warm_share(engine, multiple, now)
         if share:
-            total = self.running() + self.loads.estimate(now).lower
+            total = self.running(now) + self.loads.estimate(now).lower
             full = cap(multiple, total, self.engines.counted(now))
             ceiling = max(1, int(min(full, self._cfg.most_running) * share))
         right = self.rights.right(engine, ceiling, now)
@@ -255,7 +267,7 @@
                 ),
             )
         return Dump(
-            self.loads.estimate(now).lower + self.running(),
+            self.loads.estimate(now).lower + self.running(now),
             len(self.engines.live),
             self.ranks.quorate,
             tuple(shown),
@@ -273,7 +285,9 @@
             return _answer(sender, ask, messages.GrantState.GRANTED, room)
         if key in self.queues:
             return _answer(sender, ask, messages.GrantState.QUEUED, room)
-        if room.free and not self.queues.waiting(ask.engine):
+        queued = self.queues.waiting(ask.engine)
+        shares = _sharing(self._cfg, self.holds, ask.engine, room)
+        if room.free and not queued and shares(ask.organisation):
             return self._grant(sender, ask, room, now)
         if not room.cap or room.setting != rights.MULTIPLE:
             return _answer(sender, ask, messages.GrantState.DENIED, room)
@@ -309,7 +323,11 @@
         sends = []
         while self.queues.waiting(engine):
             room = self.room(engine, now)
-            entry = self.queues.pop(engine, now) if room.free else None
+            if not room.free:
+                break
+            entry = self.queues.pop(
+                engine, now, _sharing(self._cfg, self.holds, engine, room)
+            )
             if entry is None:
                 break
             sends.append(self._grant(entry.key[0], entry.ask, room, now))
@@ -339,6 +357,27 @@
         return _answer(entry.key[0], entry.ask, state, room)
 
 
+def _sharing(
+    cfg: Cfg,
+    held: holds.Holds,
+    engine: ids.EngineId,
+    room: Room,
+) -> queue.Admits:
+    """Return whether an organisation may have one more request.
+
+    The last places of an engine are kept for the organisations that have less
+    than their share of it, so that a surge of one of them does not let the
+    others wait.
+    """
+    shared = cfg.most_running - math.ceil(cfg.most_running * cfg.reserve)
+
+    def admits(organisation: ids.OrgId) -> bool:
+        full = room.load >= shared
+        return not full or not held.exceeds(engine, organisation, shared)
+
+    return admits
+
+
 def _answer(
     sender: ids.RouterId,
     ask: messages.Ask,
