--- a/features/operator.feature
+++ b/features/operator.feature
@@ -94,6 +94,14 @@
     When the operator runs "fleet --wait=1 --json"
     Then it ends with status 1 and prints "Connection refused"
 
+  # Guards against a report that is missing when it matters most.
+  Scenario: The fleet report works while the store is down
+    Given router 1 has version 3 and router 2 has version 4
+    And the fault {"outage": true}
+    When the operator runs "fleet"
+    Then it ends with status 0 and prints "1 of 2 routers have the newest version 4"
+    And it says "compared with the routers only"
+
   # Guards against explanations that hide which routers were not asked.
   Scenario: Explain finds the record on whichever router has it
     Given router 2 has a record of "r-7" with the line "Status 200, verdict ran."
--- a/papayaloom/commands/fleet.py
+++ b/papayaloom/commands/fleet.py
@@ -94,9 +94,7 @@
     """
     given = options.read(shared)
     client = status.Client(given.timeout_s)
-    newest = 0
-    if given.store:
-        newest = given.editor().read().snapshot.version
+    newest = _newest_in_store(given)
     until = time.monotonic() + options.integer('wait', wait)
     found = report(client, given.router_urls(), newest)
     while found.lacking and time.monotonic() < until:
@@ -143,6 +141,20 @@
     )
 
 
+def _newest_in_store(given: options.Options) -> int:
+    """Return the newest version in the store, 0 when it does not tell.
+
+    The report matters most during an outage of the store.
+    """
+    if not given.store:
+        return 0
+    try:
+        return given.editor().read().snapshot.version
+    except errors.StoreUnavailableError as exc:
+        rendering.complain(f'{exc}; compared with the routers only')
+    return 0
+
+
 def _router(url: str, answer: status.Fetched) -> Router:
     if isinstance(answer, result.Err):
         return Router(url, problem=answer.err_value)
--- a/papayaloom/version/declarations/control.py
+++ b/papayaloom/version/declarations/control.py
@@ -10,7 +10,7 @@
         default=(),
         axis=setting.Axis.FLEET,
         doc=(
-            'Keys of the control messages in hex; the first signs, all are '
+            'Keys of the control messages; the first signs, all are '
             'accepted, and the key of the process settings file stays '
             'accepted.'
         ),
