Keep a router alive when one step of its core raises

Change: an exception in one step is logged with its traceback, counted as `faults` in the dump and refused as not run to the request that caused it; the callers of placement and quarantine follow their new signatures, and load reports reach the homes. Conclusion: a faulty step costs one request, not every router.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(PY) -m behave $(BEHAVE_ARGS) --format progress
 
 demo: venv
-	$(PY) -m papayaloom.bench.demo --keep=$(or $(KEEP),0)
+	$(PY) -m papayaloom.bench.demo --keep=$(if $(KEEP),True,False)
 
 bench: venv
 	$(PY) -m papayaloom.bench $(ARGS)
--- /dev/null
+++ b/features/steps/actor_steps.py
@@ -0,0 +1,58 @@
+import random
+
+import behave
+import pykka
+
+from papayaloom import clock, ids, messages
+from papayaloom.process import actors, admitting, core, current
+
+
+class _Silent:
+    """Outbox without a network."""
+
+    def put(self, sends, now):
+        """Drop what would be sent."""
+
+    def take(self, now):
+        """Return nothing."""
+        return []
+
+
+@behave.given('a router actor')
+def actor(context):
+    me = messages.Member(
+        ids.RouterId('router-0'), 'tcp://a', 'http://a', 'a', 'lk-west', 1
+    )
+    context.core = core.Core(me, current.Current(), random.Random(1))
+    wires = actors.Wires(None, _Silent(), None, print)
+    context.actor = actors.RouterActor.start(
+        context.core, wires, clock.VirtualClock(5)
+    )
+    context.add_cleanup(context.actor.stop)
+
+
+def fail(decisions, now):
+    raise KeyError('a fault of a part')
+
+
+@behave.when('a step for a request raises an unexpected exception')
+def step_fails(context):
+    context.fut = pykka.ThreadingFuture()
+    context.actor.tell(actors.Begin(1, context.fut, fail))
+    context.outcome = context.fut.get(timeout=5)
+
+
+@behave.then('that request is refused as not run')
+def refused(context):
+    assert context.outcome.err_value.status == 500
+    assert context.outcome.err_value.verdict == 'not run'
+
+
+@behave.then('the actor still answers and counts one fault')
+def answers(context):
+    step = actors.Run(lambda decisions, now: admitting.Effects())
+    context.actor.tell(step)
+    faults = context.actor.ask(
+        actors.Query(lambda decisions, now: decisions.faults), timeout=5
+    )
+    assert faults == 1
--- a/papayaloom/process/actors.py
+++ b/papayaloom/process/actors.py
@@ -18,6 +18,7 @@
 _log = structlog.get_logger('router')
 # Nothing says that the outcome of a call is recorded.
 Outcome = result.Result[typing.Any, errors.Problem] | None
+_FAULT = errors.Problem('internal error before the request was sent', 500)
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -66,7 +67,23 @@
         self._waiting: dict[int, pykka.Future[Outcome]] = {}
 
     def on_receive(self, message: typing.Any) -> typing.Any:
-        """Handle one message of the mailbox."""
+        """Handle one message of the mailbox.
+
+        A fault of the core in one step does not end the process: a request
+        or message that causes it would end every router that gets it.
+        """
+        try:
+            return self._handle(message)
+        except Exception:
+            self._core.faults += 1
+            _log.exception('router: a step of the decision core failed')
+            if isinstance(message, Query):
+                raise
+            if isinstance(message, Begin):
+                self._settle(message.ticket, result.Err(_FAULT))
+            return None
+
+    def _handle(self, message: typing.Any) -> typing.Any:
         now = self._clock.monotonic()
         match message:
             case bytes():
@@ -80,15 +97,6 @@
                 return message.step(self._core, now)
         return None
 
-    def on_failure(
-        self,
-        exception_type: type[BaseException] | None,
-        exception_value: BaseException | None,
-        traceback: typing.Any,
-    ) -> None:
-        """Log what ended the actor; the process cannot go on without it."""
-        _log.error('router: the decision core failed', exc_info=exception_value)
-
     def _packet(self, packet: bytes, now: float) -> None:
         try:
             received = self._wires.codec.open(packet)
--- a/papayaloom/process/admitting.py
+++ b/papayaloom/process/admitting.py
@@ -193,9 +193,10 @@
         if current.ask != message.ask or pending.search is None:
             self._give_back(sender, message, effects)
             return effects
-        pending.home.saw(message, now)
+        pending.home.handle(sender, message, now)
         step = pending.search.answer(message, now)
         if step.action == placement.Next.RUN:
+            pending.home.reused(pending.ask.chat, message, now)
             self._run(ticket, pending, message, effects)
         elif step.action == placement.Next.WAIT:
             wait_s = current.wait_ms / 1000 + self._cfg.answer_wait_s
--- a/papayaloom/process/chats.py
+++ b/papayaloom/process/chats.py
@@ -227,6 +227,7 @@
             case messages.LoadReport():
                 for parts in self.models.values():
                     parts.owner.handle(sender, message, now)
+                    parts.home.handle(sender, message, now)
             case messages.ShareRequest() | messages.Share():
                 effects.sends.extend(self.shares.handle(sender, message, now))
             case messages.Suspects():
@@ -370,7 +371,7 @@
             parts = self._by_engine.get(grant.engine)
             self._used[grant.ask] = Running(ask, grant.engine)
             self.running.add(grant.ask, admission.owner, grant.engine)
-            self.suspects.quarantine.started(ask.fingerprint, grant.engine)
+            self.suspects.quarantine.started(ask.fingerprint, grant.engine, now)
             if parts is not None:
                 parts.holders.note(grant.engine, ask.prefixes)
                 standing = parts.ejection.standing(grant.engine, now)
--- a/papayaloom/process/core.py
+++ b/papayaloom/process/core.py
@@ -38,9 +38,13 @@
 
 
 class Dump(msgspec.Struct, frozen=True):
-    """State of a router's decision parts."""
+    """State of a router's decision parts.
+
+    :param faults: steps that ended with an unexpected exception.
+    """
 
     router: str
+    faults: int
     settings: dissemination.Dump
     members: membership.Dump
     chats: chats.Dump
@@ -64,6 +68,7 @@
         """Start alone, with the settings held."""
         settings = held.snapshot
         self.me = me.router
+        self.faults = 0
         self.current = held
         self.members = membership.Membership(
             configuration.member(settings),
@@ -123,7 +128,7 @@
         effects.sends.extend(self.settings.tick(now))
         self._update_members(now)
         reports = [
-            parts.owner.report(now) for parts in self.chats.models.values()
+            _report(parts, self.me, now) for parts in self.chats.models.values()
         ]
         peers = [one for one in self._routers if one != self.me]
         effects.sends.extend(self._loads.tick(reports, peers, now))
@@ -255,6 +260,7 @@
         """Return the state for the dump."""
         return Dump(
             self.me,
+            self.faults,
             self.settings.dump(now),
             self.members.dump(now),
             self.chats.dump(now),
@@ -354,6 +360,17 @@
         return sends + self._update_upstreams(now).sends
 
 
+def _report(
+    parts: targets.ModelParts,
+    me: ids.RouterId,
+    now: float,
+) -> messages.LoadReport:
+    """Return the load report of a model, and note it at the own home side."""
+    report = parts.owner.report(now)
+    parts.home.handle(me, report, now)
+    return report
+
+
 def _member(host: hosts.Host) -> messages.Member:
     leaving = host.state is hosts.HostState.LEAVING
     return messages.Member(
--- a/papayaloom/process/load_gossip.py
+++ b/papayaloom/process/load_gossip.py
@@ -52,7 +52,9 @@
         sends = []
         size = 0
         for report in reports:
-            trimmed = messages.LoadReport(self._trim(report.loads))
+            trimmed = messages.LoadReport(
+                self._trim(report.loads), report.covered
+            )
             count = min(self._cfg.fanout, len(peers))
             for peer in self._rng.sample(list(peers), count):
                 size += _ENVELOPE_BYTES + _LOAD_BYTES * len(trimmed.loads)
