Apply rate limits and the quarantine to service calls

Cause: 130 calls through one router of an organisation were all answered whatever its rate, and a call that crashes its service would have been sent to every replica: only chats passed limits and quarantine. Change: the request path asks the desk before a call starts; a replica that breaks the connection makes the call a suspect on all routers. Conclusion: both promises now cover chats and calls.

--- a/features/core.feature
+++ b/features/core.feature
@@ -37,6 +37,11 @@
     Then every router refuses that request and names quarantine.crash_limit
     But another chat of the organisation is granted
 
+  Scenario: A call that crashed two replicas of a service is refused
+    When a call crashes the two replicas of a service
+    And the fleet runs for 2 seconds
+    Then every router refuses that call and admits another
+
   Scenario: A released request runs again after a settings edit
     When a request crashes the engines that run it twice
     And an edit lists its fingerprint in quarantine.released
--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -156,9 +156,10 @@
 
 @behave.when('engine-0 says through router-0 that it is leaving')
 def says_leaving(context):
-    context.fleet.do(
-        'router-0', lambda core, now: core.upstream_leaving('engine-0', now)
+    failure = desk.Failure(
+        'engine-0', 'models/basking', desk.End.REFUSED, 'r', 'm', leaving=True
     )
+    context.fleet.do('router-0', lambda core, now: core.failed(failure, now))
 
 
 @behave.then('engine-0 got none of them')
@@ -191,6 +192,31 @@
         assert problem.verdict == errors.Verdict.NOT_RUN.value
 
 
+@behave.when('a call crashes the two replicas of a service')
+def call_crashes(context):
+    for number in range(2):
+        failure = desk.Failure(
+            f'reminder-{number}',
+            'services/reminder',
+            desk.End.CRASHED,
+            f'call-{number}',
+            'culprit',
+        )
+        context.fleet.do(
+            'router-0',
+            lambda core, now, known=failure: core.failed(known, now),
+        )
+
+
+@behave.then('every router refuses that call and admits another')
+def call_refused(context):
+    for node in context.fleet.nodes.values():
+        now = context.fleet.now
+        problem = node.core.chats.refusal('gecko-house', 'culprit', now)
+        assert problem.setting == 'quarantine.crash_limit', problem
+        assert node.core.chats.refusal('gecko-house', 'other', now) is None
+
+
 @behave.then('another chat of the organisation is granted')
 def other_granted(context):
     ticket = context.fleet.admit('router-1', 'other', mark='innocent')
--- a/papayaloom/bench/demo.py
+++ b/papayaloom/bench/demo.py
@@ -265,6 +265,8 @@
         f'--routers={routers}',
     )
     _say('Ctrl-C stops it.')
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     try:
         signal.pause()
     except KeyboardInterrupt:
--- a/papayaloom/process/chats.py
+++ b/papayaloom/process/chats.py
@@ -159,7 +159,10 @@
 
         A retry or a resumed answer spends no token of the rate limit.
         """
-        problem = self._refusal(ask, now)
+        is_first = not (ask.resumed or ask.avoid)
+        problem = self.refusal(
+            ask.organisation if is_first else None, ask.fingerprint, now
+        )
         if problem is not None:
             effects = admitting.Effects()
             effects.decided.append(
@@ -169,6 +172,18 @@
         self._fingerprints[ticket] = ask
         return self._noted(self._admitting.begin(ask, ticket, now), now)
 
+    def refusal(
+        self,
+        organisation: ids.OrgId | None,
+        mark: ids.Fingerprint,
+        now: float,
+    ) -> errors.Problem | None:
+        """Apply the quarantine and, for an organisation, its rate."""
+        problem = self.suspects.refusal(mark, now)
+        if problem or organisation is None:
+            return problem
+        return self.shares.refusal(organisation, now)
+
     def abandon(self, ticket: int, now: float) -> admitting.Effects:
         """Stop a search whose caller has gone away."""
         self._fingerprints.pop(ticket, None)
@@ -346,16 +361,6 @@
             rates=self.shares.dump(now),
         )
 
-    def _refusal(
-        self,
-        ask: desk.ChatAsk,
-        now: float,
-    ) -> errors.Problem | None:
-        problem = self.suspects.refusal(ask.fingerprint, now)
-        if problem or ask.resumed or ask.avoid:
-            return problem
-        return self.shares.refusal(ask.organisation, now)
-
     def _noted(
         self,
         effects: admitting.Effects,
--- a/papayaloom/process/core.py
+++ b/papayaloom/process/core.py
@@ -221,9 +221,19 @@
             effects.sends.extend(self._note_leaving(engine, now))
         return self._settled(effects, now)
 
-    def upstream_leaving(self, name: str, now: float) -> admitting.Effects:
-        """Note that an upstream refused work because it is leaving."""
-        sends = self._note_leaving(name, now)
+    def failed(self, failure: desk.Failure, now: float) -> admitting.Effects:
+        """Note an upstream that is leaving, or a service that crashed."""
+        sends: list[messages.Send] = []
+        if failure.leaving:
+            sends.extend(self._note_leaving(failure.upstream, now))
+        is_service = failure.target.startswith('services/')
+        if is_service and failure.end is desk.End.CRASHED:
+            suspected = self.chats.suspects.crashed_by(
+                failure.fingerprint, failure.upstream, now
+            )
+            sends.extend(
+                suspects.broadcast(suspected, self._routers, self.me),
+            )
         return self._settled(admitting.Effects(sends), now)
 
     def spend_retry(self, upstream: str, target: str, now: float) -> bool:
--- a/papayaloom/process/http_front.py
+++ b/papayaloom/process/http_front.py
@@ -162,9 +162,9 @@
         req = arrivals.accept(self._parts, environ, 'call')
         try:
             machine = arrivals.call_machine(self._parts, req, environ)
+            finish = self._relay.run_call(machine)
         except errors.RefusedError as exc:
             raise self._refused(req, exc) from exc
-        finish = self._relay.run_call(machine)
         req.entry.tries = machine.tries
         answer = finish.answer
         if isinstance(answer, errors.Problem):
--- a/papayaloom/process/office.py
+++ b/papayaloom/process/office.py
@@ -113,6 +113,21 @@
 
         self._run(step)
 
+    def admit_call(
+        self,
+        organisation: ids.OrgId,
+        fingerprint: ids.Fingerprint,
+    ) -> errors.Problem | None:
+        """Apply rate limits and the quarantine to a call."""
+        return typing.cast(
+            errors.Problem | None,
+            self._query(
+                lambda decisions, now: decisions.chats.refusal(
+                    organisation, fingerprint, now
+                ),
+            ),
+        )
+
     def claim(
         self,
         ask: desk.CallAsk,
@@ -160,13 +175,11 @@
         )
 
     def failed(self, failure: desk.Failure) -> None:
-        """Note an upstream that refused work because it is leaving."""
-        if failure.leaving:
-            self._run(
-                lambda decisions, now: decisions.upstream_leaving(
-                    failure.upstream, now
-                ),
-            )
+        """Note an upstream that is leaving, or that a call crashed.
+
+        What a chat did to its engine is noted when its grant is released.
+        """
+        self._run(lambda decisions, now: decisions.failed(failure, now))
 
     def accepting(self) -> bool:
         """Return whether new requests are accepted."""
--- a/papayaloom/process/suspects.py
+++ b/papayaloom/process/suspects.py
@@ -60,6 +60,19 @@
         self.quarantine.finished(mark, upstream, ran=end is desk.End.FINISHED)
         return suspects if suspects and suspects.crashes else None
 
+    def crashed_by(
+        self,
+        mark: ids.Fingerprint,
+        upstream: str,
+        now: float,
+    ) -> messages.Suspects:
+        """Note that a service crashed while it ran a call.
+
+        Only this call is known to have run there.
+        """
+        self.quarantine.started(mark, upstream, now)
+        return self.quarantine.crashed(upstream, now)
+
     def dump(self, now: float) -> dict[str, dict[str, object]]:
         """Return the suspicions, condemned ones included."""
         return {
--- a/papayaloom/process/upstream_io.py
+++ b/papayaloom/process/upstream_io.py
@@ -65,8 +65,13 @@
         """Run a service call.
 
         :returns: the answer; its outcome is recorded.
+        :raises papayaloom.errors.RefusedError: a limit refused the call.
         """
         claim: desk.Claim | None = None
+        facts = machine.facts
+        problem = self._desk.admit_call(facts.organisation, facts.fingerprint)
+        if problem is not None:
+            raise errors.RefusedError(problem)
         step: calls.Step = machine.start(self._clock.monotonic())
         while not isinstance(step, calls.Finish):
             if isinstance(step, calls.Claim):
--- a/papayaloom/request/desk.py
+++ b/papayaloom/request/desk.py
@@ -249,6 +249,14 @@
     def served(self, replica: Replica, end: End, seconds: float) -> None:
         """Say that a try at a replica ended, well or not."""
 
+    def admit_call(
+        self, organisation: ids.OrgId, fingerprint: ids.Fingerprint
+    ) -> errors.Problem | None:
+        """Apply rate limits and the quarantine to a call.
+
+        :returns: why the call is refused, or nothing.
+        """
+
     def claim(self, ask: CallAsk) -> result.Result[Claim, errors.Problem]:
         """Claim a call's key; returns after the claim is committed.
 
--- a/papayaloom/standins/desk.py
+++ b/papayaloom/standins/desk.py
@@ -118,6 +118,12 @@
     ) -> None:
         """Do nothing."""
 
+    def admit_call(
+        self, organisation: ids.OrgId, fingerprint: ids.Fingerprint
+    ) -> errors.Problem | None:
+        """Refuse as :attr:`refusal` says."""
+        return self.refusal
+
     def claim(
         self, ask: desk.CallAsk
     ) -> result.Result[desk.Claim, errors.Problem]:
