--- a/features/machines/ledger_machine.py
+++ b/features/machines/ledger_machine.py
@@ -13,12 +13,14 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from papayaloom import clock, errors, messages
+from papayaloom import clock, messages
 from papayaloom.process import (
     ledger,
     ledger_record,
     ledger_slot,
     ledger_writer,
+    store_calls,
+    store_io,
 )
 from papayaloom.standins import kv
 
@@ -28,50 +30,13 @@
 CFG = ledger.Cfg(writer=ledger_writer.Cfg(sweep_s=10))
 
 
-class Store:
-    """Carries out the ledger's store calls on the in-memory twin."""
-
-    def __init__(self, ticks):
-        self.kv = kv.MemoryKv(ticks, sleep=lambda seconds: None)
-
-    def carry_out(self, effect):
-        try:
-            return self._call(effect)
-        except errors.StoreUnavailableError:
-            return ledger_writer.Failed(effect.operation)
-
-    def _call(self, effect):
-        number = effect.operation
-        if isinstance(effect, ledger_writer.Read):
-            entry = self.kv.get(effect.key)
-            if entry is None:
-                return ledger_writer.Entry(number)
-            return ledger_writer.Entry(number, entry.value, entry.revision)
-        if isinstance(effect, ledger_writer.ListKeys):
-            listed = self.kv.list_prefix(
-                effect.prefix, limit=effect.limit, values=False
-            )
-            keys = tuple((one.key, one.revision) for one in listed.entries)
-            return ledger_writer.Keys(number, keys)
-        if isinstance(effect, ledger_writer.Delete):
-            written = self.kv.delete(effect.key, effect.expect)
-        else:
-            written = self.kv.put(effect.key, effect.content, effect.expect)
-        if written.done:
-            return ledger_writer.Swapped(number, written.revision)
-        if written.current is None:
-            return ledger_writer.Conflict(number)
-        current = written.current
-        return ledger_writer.Conflict(number, current.value, current.revision)
-
-
 class LedgerMachine(stateful.RuleBasedStateMachine):
     """Several routers that claim the same few calls."""
 
     def __init__(self):
         super().__init__()
         self.clock = clock.VirtualClock(1000)
-        self.store = Store(self.clock)
+        self.store = kv.MemoryKv(self.clock, sleep=self.clock.advance)
         self.rng = random.Random(1)
         self.ledgers = {name: self.new_ledger(name) for name in ROUTERS}
         self.boots = dict.fromkeys(ROUTERS, 0)
@@ -154,11 +119,11 @@
     @stateful.rule(number=PICK, fate=st.sampled_from('dddddbal'))
     def store_call(self, number, fate):
         name, boot, effect = self.pick(self.effects, number)
-        stored = ledger_writer.Failed(effect.operation)
+        stored = store_calls.Failed(effect.operation)
         if fate == 'l':
             self.late.append(effect)
         elif fate != 'b':
-            done = self.store.carry_out(effect)
+            done = store_io.carry_out(self.store, effect)
             stored = done if fate == 'd' else stored
         if boot != self.boots[name]:
             return
@@ -168,7 +133,7 @@
     @stateful.precondition(lambda self: self.late)
     @stateful.rule(number=PICK)
     def late_write(self, number):
-        self.store.carry_out(self.pick(self.late, number))
+        store_io.carry_out(self.store, self.pick(self.late, number))
 
     @stateful.precondition(lambda self: self.granted)
     @stateful.rule(number=PICK)
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -7,7 +7,8 @@
 
 from features.machines import ledger_machine
 from papayaloom import clock, errors
-from papayaloom.process import ledger, ledger_record
+from papayaloom.process import ledger, ledger_record, store_io
+from papayaloom.standins import kv
 
 HOUR_MS = 3_600_000
 
@@ -46,7 +47,7 @@
 @behave.given('a router with a ledger')
 def router(context):
     context.clock = clock.VirtualClock(100_000)
-    context.store = ledger_machine.Store(context.clock)
+    context.store = kv.MemoryKv(context.clock, sleep=context.clock.advance)
     context.ledger = ledger.Ledger(ledger.Cfg(), 'r1', random.Random(1))
     context.answers = {}
     context.largest = 0
@@ -61,7 +62,7 @@
             continue
         size = len(getattr(output, 'content', b''))
         context.largest = max(context.largest, size)
-        stored = context.store.carry_out(output)
+        stored = store_io.carry_out(context.store, output)
         now = context.clock.monotonic()
         take(context, context.ledger.stored(stored, now))
 
@@ -104,8 +105,8 @@
     context.clock.advance(hours * 3600)
     advance(context, 0.1)
     context.counts = (
-        context.store.kv.counts.reads,
-        context.store.kv.counts.writes,
+        context.store.counts.reads,
+        context.store.counts.writes,
     )
     claim(context, 2, key)
 
@@ -120,7 +121,7 @@
 @behave.then('the repeat cost one read and no write')
 def cost(context):
     reads, writes = context.counts
-    counts = context.store.kv.counts
+    counts = context.store.counts
     assert (counts.reads, counts.writes) == (reads + 1, writes)
 
 
@@ -135,7 +136,7 @@
 def granted_with(context, writes):
     assert len(context.answers) == context.count
     assert all(answer.granted for answer in context.answers.values())
-    assert context.store.kv.counts.writes <= writes
+    assert context.store.counts.writes <= writes
 
 
 @behave.when('{count:d} calls of one record come at once')
@@ -170,8 +171,8 @@
     ' second',
 )
 def outage(context, seconds, rate):
-    before = context.store.kv.counts.reads + context.store.kv.counts.writes
-    context.store.kv.faults.outage = True
+    before = context.store.counts.reads + context.store.counts.writes
+    context.store.faults.outage = True
     for second in range(seconds):
         for call in range(rate):
             number = second * rate + call
@@ -179,7 +180,7 @@
             claim(context, number, key)
         advance(context, 1)
     advance(context, 2)
-    counts = context.store.kv.counts
+    counts = context.store.counts
     context.calls_per_s = (counts.reads + counts.writes - before) / seconds
     context.first_key = key_at(100_000_000 + 1_700_000_000_000)
 
@@ -199,7 +200,7 @@
 
 @behave.then('after the outage a key that was refused is granted')
 def granted_again(context):
-    context.store.kv.faults.outage = False
+    context.store.faults.outage = False
     advance(context, 60)
     claim(context, 5000, context.first_key)
     advance(context, 1)
@@ -213,7 +214,7 @@
         'org', 'desk', key, context.clock.unix_ms()
     ).unwrap()
     context.record = ledger_record.record_key(location.shard, location.slot)
-    context.store.kv.put(context.record, b'garbage', 0)
+    context.store.put(context.record, b'garbage', 0)
     claim(context, 1, key)
     advance(context, 3)
 
@@ -226,7 +227,7 @@
 
 @behave.then('the garbage is still there')
 def still_there(context):
-    assert context.store.kv.get(context.record).value == b'garbage'
+    assert context.store.get(context.record).value == b'garbage'
 
 
 @behave.then(
--- a/papayaloom/process/ledger.py
+++ b/papayaloom/process/ledger.py
@@ -18,7 +18,12 @@
 import msgspec
 
 from papayaloom import hashing, ids, messages
-from papayaloom.process import ledger_record, ledger_slot, ledger_writer
+from papayaloom.process import (
+    ledger_record,
+    ledger_slot,
+    ledger_writer,
+    store_calls,
+)
 
 # Decisions that are remembered to answer a grant that comes late.
 _KEPT_DECISIONS = 10_000
@@ -59,7 +64,7 @@
     number: int
 
 
-Output = messages.Send | ledger_writer.Effect | Decided | Recorded
+Output = messages.Send | store_calls.Call | Decided | Recorded
 
 
 class Dump(msgspec.Struct, frozen=True):
@@ -213,7 +218,7 @@
                 written += self._writer.ask(*asked, now)
         return self._route(written, now)
 
-    def stored(self, stored: ledger_writer.Stored, now: float) -> list[Output]:
+    def stored(self, stored: store_calls.Stored, now: float) -> list[Output]:
         """Take the result of a store call."""
         return self._route(self._writer.stored(stored, now), now)
 
--- a/papayaloom/process/ledger_writer.py
+++ b/papayaloom/process/ledger_writer.py
@@ -1,7 +1,7 @@
 """Reads and writes of ledger records, batched by record.
 
-The writer talks to the key-value service through the structs below. An actor
-carries them out and hands the results back to :meth:`Writer.stored`.
+The writer asks for store calls (:mod:`papayaloom.process.store_calls`). An
+actor carries them out and hands the results back to :meth:`Writer.stored`.
 """
 
 import typing
@@ -9,7 +9,7 @@
 import msgspec
 
 from papayaloom import errors
-from papayaloom.process import ledger_record, ledger_slot
+from papayaloom.process import ledger_record, ledger_slot, store_calls
 
 # Records of this many deletions are listed at a time; 10 become due a sweep.
 _SWEEP_KEYS = 20
@@ -37,77 +37,7 @@
     idle_s: float = 60
 
 
-class Read(msgspec.Struct, frozen=True):
-    """Asks for the value and the revision of a key."""
-
-    operation: int
-    key: str
-
-
-class CompareAndSwap(msgspec.Struct, frozen=True):
-    """Asks to write a key if it has the expected revision, 0 for absent."""
-
-    operation: int
-    key: str
-    content: bytes
-    expect: int
-
-
-class Delete(msgspec.Struct, frozen=True):
-    """Asks to delete a key if it has the expected revision."""
-
-    operation: int
-    key: str
-    expect: int
-
-
-class ListKeys(msgspec.Struct, frozen=True):
-    """Asks for the first keys of a prefix, without values."""
-
-    operation: int
-    prefix: str
-    limit: int
-
-
-class Entry(msgspec.Struct, frozen=True):
-    """A key as the store has it; revision 0 and no content when absent."""
-
-    operation: int
-    content: bytes | None = None
-    revision: int = 0
-
-
-class Swapped(msgspec.Struct, frozen=True):
-    """The write or the deletion was done."""
-
-    operation: int
-    revision: int
-
-
-class Conflict(msgspec.Struct, frozen=True):
-    """The write or the deletion was not done; this is the current entry."""
-
-    operation: int
-    content: bytes | None = None
-    revision: int = 0
-
-
-class Keys(msgspec.Struct, frozen=True):
-    """Keys of a prefix in their order, with their revisions."""
-
-    operation: int
-    keys: tuple[tuple[str, int], ...]
-
-
-class Failed(msgspec.Struct, frozen=True):
-    """The store did not answer; a write may still take effect."""
-
-    operation: int
-
-
-Effect = Read | CompareAndSwap | Delete | ListKeys
-Stored = Entry | Swapped | Conflict | Keys | Failed
-Output = Effect | ledger_slot.Answered
+Output = store_calls.Call | ledger_slot.Answered
 
 
 class Counts(msgspec.Struct):
@@ -199,31 +129,33 @@
         slot.record(outcome, now + self._cfg.outcome_delay_s)
         return self._work(slot, now)
 
-    def stored(self, stored: Stored, now: float) -> list[Output]:
+    def stored(self, stored: store_calls.Stored, now: float) -> list[Output]:
         """Take the result of a store call."""
         key = self._operations.pop(stored.operation, '')
-        if isinstance(stored, Failed):
+        if isinstance(stored, store_calls.Failed):
             self.counts.lost_replies += 1
             self._gate.failed(now, self._cfg.retry_s)
         else:
             self._gate.answered()
-        if isinstance(stored, Keys):
+        if isinstance(stored, store_calls.Keys):
             return self._delete(stored)
         slot = self._slots.get(key)
         if slot is None or slot.operation != stored.operation:
             return []
         slot.operation = 0
         proposal = self._proposals.pop(stored.operation, None)
-        if isinstance(stored, Failed):
+        if isinstance(stored, store_calls.Failed):
             slot.must_read = True
             slot.retry_at = now + self._cfg.retry_s
             return []
-        if isinstance(stored, Swapped):
+        if isinstance(stored, store_calls.Swapped):
             answered: list[Output] = []
             if proposal is not None:
                 answered += slot.commit(proposal, stored.revision, now)
             return answered + self._work(slot, now)
-        self.counts.conflicts += isinstance(stored, Conflict)
+        if isinstance(stored, store_calls.Leased):
+            return []
+        self.counts.conflicts += isinstance(stored, store_calls.Conflict)
         return self._load(slot, stored, now)
 
     def tick(self, now: float, unix_ms: int) -> list[Output]:
@@ -255,7 +187,9 @@
                 self.counts.lists += 1
                 prefix = ledger_record.shard_prefix(shard)
                 operation = self._begin(prefix)
-                outputs.append(ListKeys(operation, prefix, _SWEEP_KEYS))
+                outputs.append(
+                    store_calls.ListKeys(operation, prefix, _SWEEP_KEYS)
+                )
         return outputs
 
     def _slot(self, shard: int, number: int, now: float) -> ledger_slot.Slot:
@@ -285,7 +219,7 @@
         if slot.must_read:
             self.counts.reads += 1
             slot.operation = self._begin(slot.key)
-            return [*outputs, Read(slot.operation, slot.key)]
+            return [*outputs, store_calls.Read(slot.operation, slot.key)]
         if now < self._write_at.get(slot.shard, now):
             return outputs
         return outputs + self._write(slot, now)
@@ -301,13 +235,15 @@
         slot.operation = self._begin(slot.key)
         self._proposals[slot.operation] = proposal
         return [
-            CompareAndSwap(slot.operation, slot.key, content, slot.revision)
+            store_calls.CompareAndSwap(
+                slot.operation, slot.key, content, slot.revision
+            )
         ]
 
     def _load(
         self,
         slot: ledger_slot.Slot,
-        entry: Entry | Conflict,
+        entry: store_calls.Entry | store_calls.Conflict,
         now: float,
     ) -> list[Output]:
         try:
@@ -320,7 +256,7 @@
             return []
         return self._work(slot, now)
 
-    def _delete(self, listed: Keys) -> list[Output]:
+    def _delete(self, listed: store_calls.Keys) -> list[Output]:
         newest = (self._unix_ms - ledger_record.KEEP_MS) // (
             ledger_record.SLOT_MS
         )
@@ -328,5 +264,7 @@
         for key, revision in listed.keys:
             if ledger_record.slot_of(key) < newest:
                 self.counts.deletes += 1
-                outputs.append(Delete(self._begin(key), key, revision))
+                outputs.append(
+                    store_calls.Delete(self._begin(key), key, revision)
+                )
         return outputs
