--- a/features/machines/ledger_machine.py
+++ b/features/machines/ledger_machine.py
@@ -4,12 +4,10 @@
 The oracle counts the effects of every key and checks every decision.
 """
 
-import contextlib
 import random
 import uuid
 from unittest import mock
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -35,6 +33,9 @@
 
     def __init__(self):
         super().__init__()
+        # Few shards, so that calls often share a record.
+        self.shards = mock.patch.object(ledger_record, 'SHARDS', 2)
+        self.shards.start()
         self.clock = clock.VirtualClock(1000)
         self.store = kv.MemoryKv(self.clock, sleep=self.clock.advance)
         self.rng = random.Random(1)
@@ -83,6 +84,9 @@
         awake = [name for name in ROUTERS if name not in self.paused]
         return awake[number % len(awake)] if awake else None
 
+    def teardown(self):
+        self.shards.stop()
+
     @stateful.rule(number=PICK, old=st.booleans(), which=PICK)
     def call(self, number, old, which):
         name = self.router(number)
@@ -91,7 +95,8 @@
         if not old or not self.keys:
             made = self.clock.unix_ms() << 80 | 7 << 76 | 2 << 62
             self.keys.append(str(uuid.UUID(int=made + len(self.keys))))
-        key = self.keys[which % len(self.keys)] if old else self.keys[-1]
+        latest = self.keys[-3:]
+        key = latest[which % len(latest)] if old else self.keys[-1]
         found = ledger_record.locate('org', 'desk', key, self.clock.unix_ms())
         if found.is_err():
             return
@@ -105,6 +110,11 @@
             ),
         )
 
+    @stateful.rule(number=PICK, which=PICK)
+    def call_in_vain(self, number, which):
+        self.call(number, True, which)
+        self.wait(2.5)
+
     @stateful.precondition(lambda self: self.mail)
     @stateful.rule(number=PICK, fate=st.sampled_from('ddddl2'))
     def message(self, number, fate):
@@ -299,21 +309,3 @@
     'decides a call twice': decide_twice,
     'answers with the reply of another call': foreign_reply,
 }
-
-
-def run(steps, examples, fault=None, seed=0):
-    """Run the machine; raises AssertionError when a property is broken."""
-    chosen = hypothesis.settings(
-        derandomize=True,
-        database=None,
-        deadline=None,
-        max_examples=examples,
-        stateful_step_count=steps,
-        phases=(hypothesis.Phase.generate,),
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    machine = hypothesis.seed(seed)(LedgerMachine) if seed else LedgerMachine
-    # Few shards, so that calls often share a record.
-    shards = mock.patch.object(ledger_record, 'SHARDS', 2)
-    with shards, fault() if fault else contextlib.nullcontext():
-        stateful.run_state_machine_as_test(machine, settings=chosen)
--- a/features/machines/orders_machine.py
+++ b/features/machines/orders_machine.py
@@ -9,7 +9,6 @@
 import itertools
 from unittest import mock
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -207,8 +206,11 @@
         version=st.sampled_from('123'),
         lagging=st.sets(HOLDERS, max_size=1),
         seconds=SECONDS,
+        when=st.sampled_from(('', 'before', 'after', 'network')),
     )
-    def edit(self, version, lagging, seconds):
+    def edit(self, version, lagging, seconds, when):
+        if when:
+            self.pausing = dict.fromkeys(set(range(2)) - set(self.paused), when)
         self.version += 1
         self.wanted = version
         self.lagging = set(lagging)
@@ -220,6 +222,12 @@
             if number not in self.lagging:
                 self.configure(holder)
 
+    @stateful.rule(number=HOLDERS, version=st.sampled_from('123'))
+    def fail_over(self, number, version):
+        """Lets a holder whose settings lag take over from the other one."""
+        self.edit(version, {1 - number}, 12, '')
+        self.pause(number, 'now', 30)
+
     @stateful.rule(number=HOLDERS)
     def crash_holder(self, number):
         self.paused.pop(number, None)
@@ -333,19 +341,3 @@
     'does not count orders under way against the floor': no_floor,
     'gives orders by older settings': old_settings,
 }
-
-
-def run(steps, examples, fault=None, seed=0):
-    """Run the machine; raises AssertionError when a property is broken."""
-    chosen = hypothesis.settings(
-        derandomize=True,
-        database=None,
-        deadline=None,
-        max_examples=examples,
-        stateful_step_count=steps,
-        phases=(hypothesis.Phase.generate,),
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    machine = hypothesis.seed(seed)(OrdersMachine) if seed else OrdersMachine
-    with fault() if fault else contextlib.nullcontext():
-        stateful.run_state_machine_as_test(machine, settings=chosen)
--- a/features/router.py
+++ b/features/router.py
@@ -19,6 +19,7 @@
 def settings(**changes):
     values = {entry.path: entry.default for entry in requests.SETTINGS}
     values['organisation.key_hashes'] = ()
+    values['retry.budget_ratio'] = 0.1
     values['retry.base_s'] = 0.001
     values.update(
         {path.replace('__', '.'): number for path, number in changes.items()}
@@ -54,6 +55,8 @@
         self.server = http_front.Server(
             ('127.0.0.1', 0), self.front, limits or caller.Limits(threads=8)
         )
+        # The selector looks this often whether the server was stopped.
+        self.server.expiration_interval = 0.01
         self.server.prepare()
         threading.Thread(target=self.server.serve, daemon=True).start()
         self.address = self.server.bind_addr
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from features.machines import ledger_machine
+from features.machines import deterministic, ledger_machine
 from papayaloom import clock, errors
 from papayaloom.process import ledger, ledger_record, store_io
 from papayaloom.standins import kv
@@ -261,13 +261,14 @@
     ' {steps:d} steps',
 )
 def machine_clean(context, runs, steps):
-    ledger_machine.run(steps, runs)
+    deterministic.run(ledger_machine.LedgerMachine, steps, runs)
 
 
 @behave.then('the ledger machine finds a broken property when a ledger {fault}')
 def machine_finds(context, fault):
-    try:
-        ledger_machine.run(60, 800, ledger_machine.FAULTS[fault])
-    except AssertionError:
-        return
-    raise AssertionError(f'a ledger that {fault} was not found')
+    assert deterministic.finds(
+        ledger_machine.LedgerMachine,
+        60,
+        800,
+        ledger_machine.FAULTS[fault],
+    )
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -1,6 +1,6 @@
 import behave
 
-from features.machines import orders_machine
+from features.machines import deterministic, orders_machine
 from papayaloom import clock, errors
 from papayaloom.process import (
     orders,
@@ -286,15 +286,16 @@
     ' {steps:d} steps',
 )
 def machine_clean(context, runs, steps):
-    orders_machine.run(steps, runs)
+    deterministic.run(orders_machine.OrdersMachine, steps, runs)
 
 
 @behave.then(
     'the orders machine finds a broken property when an orderer {fault}',
 )
 def machine_finds(context, fault):
-    try:
-        orders_machine.run(40, 1000, orders_machine.FAULTS[fault])
-    except AssertionError:
-        return
-    raise AssertionError(f'an orderer that {fault} was not found')
+    assert deterministic.finds(
+        orders_machine.OrdersMachine,
+        40,
+        1000,
+        orders_machine.FAULTS[fault],
+    )
--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -81,6 +81,7 @@
     :param engines: how many engines it owns.
     :param sequence: milliseconds of the sender's monotonic clock at the count.
     :param age_ms: how old the count was when this message was sent.
+    :param finished: requests that have ended there since the router's start.
     """
 
     router: ids.RouterId
@@ -89,6 +90,26 @@
     engines: int
     sequence: int
     age_ms: int
+    finished: int = 0
+
+
+class Covered(msgspec.Struct, frozen=True, array_like=True):
+    """Running requests of an engine whose owner may be silent.
+
+    :param router: the second in rank, which read the engine's own count.
+    :param owner: the first in rank; while its subtotal is known, this count
+        is not used.
+    :param running: requests that the second has not granted itself.
+    :param sequence: milliseconds of the sender's monotonic clock at the count.
+    """
+
+    router: ids.RouterId
+    owner: ids.RouterId
+    model: ids.ModelId
+    engine: ids.EngineId
+    running: int
+    sequence: int
+    age_ms: int
 
 
 class Ping(Message, frozen=True, array_like=True):
@@ -165,6 +186,7 @@
     """The newest load counts that the sender knows."""
 
     loads: tuple[Load, ...]
+    covered: tuple[Covered, ...] = ()
 
 
 class SettingsRequest(Message, frozen=True, array_like=True):
@@ -393,7 +415,7 @@
     """The membership view that a router publishes to the locator on its host.
 
     :param members: all members that may serve callers, leaving ones included.
-    :param sequence: grows with every view of one boot of the router.
+    :param sequence: grows with every change within one boot of the router.
     :param ttl_s: how long callers may keep an address answer.
     :param count: how many addresses an answer holds.
     """
--- a/papayaloom/process/admitting.py
+++ b/papayaloom/process/admitting.py
@@ -10,7 +10,7 @@
 import result
 
 from papayaloom import errors, ids, messages
-from papayaloom.process import placement
+from papayaloom.process import claims, placement
 from papayaloom.request import desk
 
 _BUSY = 503
@@ -33,7 +33,8 @@
     """What a search needs from the parts around it.
 
     :param home_of: home router of a chat in this region.
-    :param owner_of: router to ask for admission to an engine.
+    :param owners_of: routers to ask for admission to an engine, first the one
+        that should admit; empty for an unknown engine.
     :param home: home side of a model, nothing for an unknown model.
     :param usable: engines that are neither ejected nor kept apart for a
         request that may have crashed an upstream.
@@ -41,7 +42,7 @@
     """
 
     home_of: typing.Callable[[ids.ChatId], ids.RouterId | None]
-    owner_of: typing.Callable[[ids.EngineId], ids.RouterId | None]
+    owners_of: typing.Callable[[ids.EngineId], tuple[ids.RouterId, ...]]
     home: typing.Callable[[ids.ModelId], placement.Home | None]
     usable: typing.Callable[[desk.ChatAsk, ids.EngineId], bool]
     url: typing.Callable[[ids.EngineId], str]
@@ -73,10 +74,14 @@
 
 
 class Effects(msgspec.Struct):
-    """What the actor has to carry out."""
+    """What the actor has to carry out.
+
+    :param calls: effects of the at-most-once ledger.
+    """
 
     sends: list[messages.Send] = msgspec.field(default_factory=list)
     decided: list[Decided] = msgspec.field(default_factory=list)
+    calls: list[claims.Effects] = msgspec.field(default_factory=list)
 
 
 class _Pending(msgspec.Struct):
@@ -216,9 +221,12 @@
                 continue
             if pending.search is None:
                 self._start(ticket, pending, effects, now)
+            elif pending.current is None:
+                step = pending.search.again(now)
+                self._step(ticket, pending, step, effects, now)
             else:
                 self._withdraw(pending, effects)
-                step = pending.search.lost(now)
+                step = pending.search.lost(pending.current.engine, now)
                 self._step(ticket, pending, step, effects, now)
         return effects
 
@@ -256,10 +264,12 @@
         now: float,
     ) -> None:
         if step.ask is None:
-            self._refuse(ticket, step, effects)
+            pending.current = None
+            pending.until = now + step.retry_after_s
+            if step.action is not placement.Next.LATER:
+                self._refuse(ticket, step, effects)
             return
-        owner = self._lookup.owner_of(step.ask.engine)
-        pending.owner = owner or self._router
+        pending.owner = self._owner(pending.owner, step)
         pending.current = step.ask
         pending.reason = step.reason
         pending.until = now + self._cfg.answer_wait_s + step.ask.wait_ms / 1000
@@ -272,6 +282,16 @@
             ),
         )
 
+    def _owner(self, asked: ids.RouterId, step: placement.Step) -> ids.RouterId:
+        """Return the router to ask, another one than before if wanted."""
+        engine = step.ask.engine if step.ask else ids.EngineId('')
+        owners = [
+            one
+            for one in self._lookup.owners_of(engine)
+            if not step.other or one != asked
+        ]
+        return owners[0] if owners else self._router
+
     def _run(
         self,
         ticket: int,
@@ -354,8 +374,9 @@
     if known is None or known.engine == answer.engine:
         return nowhere
     missing = known.tokens - answer.cached_tokens
-    moves = pending.home.move(missing) == placement.Move.TRANSFER
-    return known.engine if missing > 0 and moves else nowhere
+    moves = placement.move(pending.home.cfg, missing)
+    is_move = missing > 0 and moves is placement.Move.TRANSFER
+    return known.engine if is_move else nowhere
 
 
 def _request(ask: desk.ChatAsk, now: float) -> placement.Request:
--- a/papayaloom/process/ledger_writer.py
+++ b/papayaloom/process/ledger_writer.py
@@ -37,7 +37,10 @@
     idle_s: float = 60
 
 
-Output = store_calls.Call | ledger_slot.Answered
+Effect = store_calls.Call
+Stored = store_calls.Stored
+Failed = store_calls.Failed
+Output = Effect | ledger_slot.Answered
 
 
 class Counts(msgspec.Struct):
--- a/papayaloom/version/document.py
+++ b/papayaloom/version/document.py
@@ -70,6 +70,8 @@
         self.lines: dict[str, int] = {}
         self._branch = branch
         self._schema = known
+        self._seen: set[str] = set()
+        self._waiting: list[tuple[str, model.JSONObject]] = []
 
     def read(self, root: model.Value) -> None:
         """Read the whole document."""
@@ -122,15 +124,21 @@
             self._refuse('settings', root.lineno, 'is not an object')
             return
         # A list instead of recursion: the depth of the input is not trusted.
-        waiting: list[tuple[str, model.JSONObject]] = [('', root)]
-        while waiting:
-            prefix, group = waiting.pop()
+        self._waiting.append(('', root))
+        while self._waiting:
+            prefix, group = self._waiting.pop()
             for key, node in group.key_value_pairs:
                 path = f'{prefix}{key_name(key)}'
-                if isinstance(node, model.JSONObject) and self._is_group(path):
-                    waiting.append((f'{path}.', node))
-                else:
-                    self._read_value(path, key.lineno or 0, node)
+                self._read_member(path, key.lineno or 0, node)
+
+    def _read_member(self, path: str, line: int, node: model.Value) -> None:
+        if path in self._seen:
+            self._refuse(path, line, 'is given twice')
+        elif isinstance(node, model.JSONObject) and self._is_group(path):
+            self._waiting.append((f'{path}.', node))
+        else:
+            self._read_value(path, line, node)
+        self._seen.add(path)
 
     def _is_group(self, path: str) -> bool:
         return any(known.startswith(f'{path}.') for known in self._schema)
@@ -141,9 +149,6 @@
             hint = schema.similar(path, self._schema)
             self._refuse(path, line, f'is no known setting{hint}')
             return
-        if path in self.settings:
-            self._refuse(path, line, 'is given twice')
-            return
         if not tree.may_set(self._branch, declared):
             self._refuse(
                 path,
@@ -221,7 +226,28 @@
     """Return the name of a member."""
     if isinstance(key, model.Identifier):
         return key.name
-    return typing.cast(model.String, key).characters
+    return _join_surrogates(typing.cast(model.String, key).characters)
+
+
+def member_line(text: str, name: str) -> int:
+    """Return the line of a member of a readable document, 0 without it."""
+    syntax = parse_syntax(text)
+    if isinstance(syntax, result.Ok):
+        for key, _ in getattr(syntax.ok_value.value, 'key_value_pairs', ()):
+            if key_name(key) == name:
+                return key.lineno or 0
+    return 0
+
+
+def _join_surrogates(text: str) -> str:
+    """Return a text with its pairs of escaped surrogates decoded.
+
+    json-five decodes each of two escapes on its own.
+    """
+    try:
+        return text.encode('utf-16', 'surrogatepass').decode('utf-16')
+    except UnicodeDecodeError:
+        return text
 
 
 def _syntax_refusal(text: str, exc: json5.JSON5DecodeError) -> Refusal:
@@ -248,7 +274,7 @@
 
 def _scalar(node: model.Value) -> object:
     if isinstance(node, model.String):
-        return node.characters
+        return _join_surrogates(node.characters)
     if isinstance(node, model.UnaryOp):
         amount = _scalar(node.value)
         if isinstance(amount, int | float):
--- a/papayaloom/version/schema.py
+++ b/papayaloom/version/schema.py
@@ -71,6 +71,17 @@
         }
     )
 )
+# Units that are words rather than symbols in a range.
+_ACCEPTED_UNITS = types.MappingProxyType(
+    {
+        setting.Unit.NONE: '',
+        setting.Unit.SHARE: ' (a share)',
+        setting.Unit.FACTOR: ' (a factor)',
+        setting.Unit.COUNT: '',
+    }
+)
+# Below this, the nearest name is rarely the one that was meant.
+_SIMILARITY = 0.8
 # Greater integers do not survive a conversion to a 64-bit float.
 _MAX_INTEGER = 2**53
 
@@ -111,7 +122,7 @@
 
 def similar(path: str, known: typing.Iterable[str]) -> str:
     """Return a hint that names a known path similar to an unknown one."""
-    close = difflib.get_close_matches(path[:200], list(known), n=1)
+    close = difflib.get_close_matches(path[:200], list(known), 1, _SIMILARITY)
     return f'; did you mean {close[0]}?' if close else ''
 
 
@@ -119,7 +130,7 @@
     """Return the accepted values of a setting as text for operators."""
     if declared.choices:
         return 'one of {0}'.format(', '.join(declared.choices))
-    unit = f' {declared.unit.value}' if declared.unit.value else ''
+    unit = _ACCEPTED_UNITS.get(declared.unit, f' {declared.unit.value}')
     if declared.low is not None and declared.high is not None:
         return f'{declared.kind.value} from {declared.low:g} to {declared.high:g}{unit}'
     if declared.low is not None:
