--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -82,6 +82,7 @@
     :param sequence: milliseconds of the sender's monotonic clock at the count.
     :param age_ms: how old the count was when this message was sent.
     :param finished: requests that have ended there since the router's start.
+    :param counts: running requests on each engine; a small fleet adds them.
     """
 
     router: ids.RouterId
@@ -91,6 +92,7 @@
     sequence: int
     age_ms: int
     finished: int = 0
+    counts: tuple[tuple[ids.EngineId, int], ...] = ()
 
 
 class Covered(msgspec.Struct, frozen=True, array_like=True):
@@ -398,10 +400,13 @@
 class Suspects(Message, frozen=True, array_like=True):
     """Fingerprints of requests that ran on an upstream when it crashed.
 
-    :param crashes: pairs of fingerprint and identifier of the crash.
+    :param crashes: pairs of fingerprint and identifier of the crash, which is
+        the upstream, ``#`` and a number.
+    :param ran_s: how long each of the requests had run, in seconds.
     """
 
     crashes: tuple[tuple[ids.Fingerprint, str], ...]
+    ran_s: tuple[float, ...] = ()
 
 
 class UpstreamLeaving(Message, frozen=True, array_like=True):
