--- a/features/machines/ledger_machine.py
+++ b/features/machines/ledger_machine.py
@@ -4,21 +4,21 @@
 The oracle counts the effects of every key and checks every decision.
 """
 
-import contextlib
 import random
 import uuid
 from unittest import mock
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from papayaloom import clock, errors, messages
+from papayaloom import clock, messages
 from papayaloom.process import (
     ledger,
     ledger_record,
     ledger_slot,
     ledger_writer,
+    store_calls,
+    store_io,
 )
 from papayaloom.standins import kv
 
@@ -28,50 +28,16 @@
 CFG = ledger.Cfg(writer=ledger_writer.Cfg(sweep_s=10))
 
 
-class Store:
-    """Carries out the ledger's store calls on the in-memory twin."""
-
-    def __init__(self, ticks):
-        self.kv = kv.MemoryKv(ticks, sleep=lambda seconds: None)
-
-    def carry_out(self, effect):
-        try:
-            return self._call(effect)
-        except errors.StoreUnavailableError:
-            return ledger_writer.Failed(effect.operation)
-
-    def _call(self, effect):
-        number = effect.operation
-        if isinstance(effect, ledger_writer.Read):
-            entry = self.kv.get(effect.key)
-            if entry is None:
-                return ledger_writer.Entry(number)
-            return ledger_writer.Entry(number, entry.value, entry.revision)
-        if isinstance(effect, ledger_writer.ListKeys):
-            listed = self.kv.list_prefix(
-                effect.prefix, limit=effect.limit, values=False
-            )
-            keys = tuple((one.key, one.revision) for one in listed.entries)
-            return ledger_writer.Keys(number, keys)
-        if isinstance(effect, ledger_writer.Delete):
-            written = self.kv.delete(effect.key, effect.expect)
-        else:
-            written = self.kv.put(effect.key, effect.content, effect.expect)
-        if written.done:
-            return ledger_writer.Swapped(number, written.revision)
-        if written.current is None:
-            return ledger_writer.Conflict(number)
-        current = written.current
-        return ledger_writer.Conflict(number, current.value, current.revision)
-
-
 class LedgerMachine(stateful.RuleBasedStateMachine):
     """Several routers that claim the same few calls."""
 
     def __init__(self):
         super().__init__()
+        # Few shards, so that calls often share a record.
+        self.shards = mock.patch.object(ledger_record, 'SHARDS', 2)
+        self.shards.start()
         self.clock = clock.VirtualClock(1000)
-        self.store = Store(self.clock)
+        self.store = kv.MemoryKv(self.clock, sleep=self.clock.advance)
         self.rng = random.Random(1)
         self.ledgers = {name: self.new_ledger(name) for name in ROUTERS}
         self.boots = dict.fromkeys(ROUTERS, 0)
@@ -118,6 +84,9 @@
         awake = [name for name in ROUTERS if name not in self.paused]
         return awake[number % len(awake)] if awake else None
 
+    def teardown(self):
+        self.shards.stop()
+
     @stateful.rule(number=PICK, old=st.booleans(), which=PICK)
     def call(self, number, old, which):
         name = self.router(number)
@@ -126,7 +95,8 @@
         if not old or not self.keys:
             made = self.clock.unix_ms() << 80 | 7 << 76 | 2 << 62
             self.keys.append(str(uuid.UUID(int=made + len(self.keys))))
-        key = self.keys[which % len(self.keys)] if old else self.keys[-1]
+        latest = self.keys[-3:]
+        key = latest[which % len(latest)] if old else self.keys[-1]
         found = ledger_record.locate('org', 'desk', key, self.clock.unix_ms())
         if found.is_err():
             return
@@ -140,6 +110,11 @@
             ),
         )
 
+    @stateful.rule(number=PICK, which=PICK)
+    def call_in_vain(self, number, which):
+        self.call(number, True, which)
+        self.wait(2.5)
+
     @stateful.precondition(lambda self: self.mail)
     @stateful.rule(number=PICK, fate=st.sampled_from('ddddl2'))
     def message(self, number, fate):
@@ -154,11 +129,11 @@
     @stateful.rule(number=PICK, fate=st.sampled_from('dddddbal'))
     def store_call(self, number, fate):
         name, boot, effect = self.pick(self.effects, number)
-        stored = ledger_writer.Failed(effect.operation)
+        stored = store_calls.Failed(effect.operation)
         if fate == 'l':
             self.late.append(effect)
         elif fate != 'b':
-            done = self.store.carry_out(effect)
+            done = store_io.carry_out(self.store, effect)
             stored = done if fate == 'd' else stored
         if boot != self.boots[name]:
             return
@@ -168,7 +143,7 @@
     @stateful.precondition(lambda self: self.late)
     @stateful.rule(number=PICK)
     def late_write(self, number):
-        self.store.carry_out(self.pick(self.late, number))
+        store_io.carry_out(self.store, self.pick(self.late, number))
 
     @stateful.precondition(lambda self: self.granted)
     @stateful.rule(number=PICK)
@@ -334,21 +309,3 @@
     'decides a call twice': decide_twice,
     'answers with the reply of another call': foreign_reply,
 }
-
-
-def run(steps, examples, fault=None, seed=0):
-    """Run the machine; raises AssertionError when a property is broken."""
-    chosen = hypothesis.settings(
-        derandomize=True,
-        database=None,
-        deadline=None,
-        max_examples=examples,
-        stateful_step_count=steps,
-        phases=(hypothesis.Phase.generate,),
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    machine = hypothesis.seed(seed)(LedgerMachine) if seed else LedgerMachine
-    # Few shards, so that calls often share a record.
-    shards = mock.patch.object(ledger_record, 'SHARDS', 2)
-    with shards, fault() if fault else contextlib.nullcontext():
-        stateful.run_state_machine_as_test(machine, settings=chosen)
