--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(PY) -m papayaloom.bench $(ARGS)
 
 bench-report: venv
-	$(PY) -m papayaloom.bench.report
+	$(PY) -m papayaloom.bench.report $(ARGS)
 
 fuzz: venv
 	$(PY) -m features.machines.run --seconds=$(or $(SECONDS),600) --seed=$(or $(SEED),1)
--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -3,7 +3,7 @@
 import behave
 
 from features.machines import fleet as harness
-from papayaloom import clock, errors, hashing
+from papayaloom import errors, hashing
 from papayaloom.process import admitting
 from papayaloom.request import desk
 from papayaloom.version import edit, log, change
