--- a/papayaloom/bench/placement_policies.py
+++ b/papayaloom/bench/placement_policies.py
@@ -227,6 +227,7 @@
     """Routers with homes, owners and the messages between them.
 
     :param loss: share of control messages that are lost.
+    :param missing: share of load reports that are lost besides.
     :param late: bounds in seconds of an extra delay of load reports.
     """
 
@@ -236,12 +237,14 @@
         rng: random.Random,
         cfg: FleetCfg,
         loss: float = 0.01,
+        missing: float = 0,
         late: tuple[float, float] = (0, 0),
     ) -> None:
         """Build the routers."""
         super().__init__(world, rng)
         self._cfg = cfg
         self.loss = loss
+        self.missing = missing
         self.late = late
         self.cuts: set[tuple[ids.RouterId, ids.RouterId]] = set()
         self.nodes: dict[ids.RouterId, Node] = {}
@@ -301,7 +304,7 @@
         pairs = set(itertools.product(side, others))
         pairs.update(itertools.product(others, side))
         self.cuts |= pairs
-        for one, other in pairs:
+        for one, other in sorted(pairs):
             self.see(one, messages.MemberState.DEAD, (5, 9), (other,))
         self.world.after(seconds, self._heal, pairs)
 
@@ -394,6 +397,7 @@
             return
         peers = [name for name in node.states if name != node.name]
         report = node.owner.report(self.world.now)
+        node.home.handle(node.name, report, self.world.now)
         chosen = self.rng.sample(peers, min(GOSSIP_FANOUT, len(peers)))
         self._send(
             node,
@@ -409,18 +413,25 @@
             answer = send.message
             if isinstance(answer, messages.Answer):
                 self._count(send.to, answer)
-            delay: float = 0
-            if send.to != node.name:
-                if (node.name, send.to) in self.cuts:
-                    continue
-                if self.rng.random() < self.loss:
-                    continue
-                delay = ONE_WAY_S * self.rng.uniform(0.3, 1.5)
-                if isinstance(answer, messages.LoadReport):
-                    delay += self.rng.uniform(*self.late)
-            self.world.after(
-                delay, self._deliver, send.to, node.name, answer, now
-            )
+            delay = self._delay(node.name, send)
+            if delay is not None:
+                self.world.after(
+                    delay, self._deliver, send.to, node.name, answer, now
+                )
+
+    def _delay(self, sender: ids.RouterId, send: messages.Send) -> float | None:
+        """Return a message's time on the way, or nothing when it is lost."""
+        if send.to == sender:
+            return 0
+        report = isinstance(send.message, messages.LoadReport)
+        loss = self.loss
+        late_s: float = 0
+        if report:
+            loss += self.missing
+            late_s = self.rng.uniform(*self.late)
+        if (sender, send.to) in self.cuts or self.rng.random() < loss:
+            return None
+        return late_s + ONE_WAY_S * self.rng.uniform(0.3, 1.5)
 
     def _count(self, home: ids.RouterId, answer: messages.Answer) -> None:
         """Compare an admission with the true cap at the owner's decision."""
@@ -453,6 +464,8 @@
             self._send(node, sends)
             return
         self._send(node, node.owner.handle(sender, message, self.world.now))
+        if isinstance(message, messages.LoadReport):
+            node.home.handle(sender, message, self.world.now)
         if isinstance(message, messages.Release):
             self._push(node)
 
@@ -559,7 +572,7 @@
         answer: messages.Answer,
     ) -> None:
         now = self.world.now
-        node.home.saw(answer, now)
+        node.home.sights.answer(answer, now)
         found = node.searches.get(answer.ask)
         if found is None:
             if answer.state == messages.GrantState.GRANTED:
@@ -580,6 +593,7 @@
             self._step(node, search, job, step)
             return
         node.running.add(answer.ask, owner, answer.engine)
+        node.home.reused(ids.ChatId(job.chat), answer, now)
         self._used[job.number] = (node, answer.ask, answer.engine)
         if not self.world.start(job, answer.engine):
             job.tries += 1
@@ -657,5 +671,5 @@
         pairs: set[tuple[ids.RouterId, ids.RouterId]],
     ) -> None:
         self.cuts -= pairs
-        for one, other in pairs:
+        for one, other in sorted(pairs):
             self.see(one, messages.MemberState.ALIVE, (0.5, 2), (other,))
--- a/papayaloom/process/core.py
+++ b/papayaloom/process/core.py
@@ -38,9 +38,13 @@
 
 
 class Dump(msgspec.Struct, frozen=True):
-    """State of a router's decision parts."""
+    """State of a router's decision parts.
+
+    :param faults: steps that ended with an unexpected exception.
+    """
 
     router: str
+    faults: int
     settings: dissemination.Dump
     members: membership.Dump
     chats: chats.Dump
@@ -64,6 +68,7 @@
         """Start alone, with the settings held."""
         settings = held.snapshot
         self.me = me.router
+        self.faults = 0
         self.current = held
         self.members = membership.Membership(
             configuration.member(settings),
@@ -123,7 +128,7 @@
         effects.sends.extend(self.settings.tick(now))
         self._update_members(now)
         reports = [
-            parts.owner.report(now) for parts in self.chats.models.values()
+            _report(parts, self.me, now) for parts in self.chats.models.values()
         ]
         peers = [one for one in self._routers if one != self.me]
         effects.sends.extend(self._loads.tick(reports, peers, now))
@@ -203,18 +208,32 @@
         engine: ids.EngineId,
         state: engine_port.State,
         events: engine_port.CacheEvents,
+        taken: float,
         now: float,
     ) -> admitting.Effects:
-        """Take an engine's own report."""
-        self.chats.engine_read(engine, state, events, now)
+        """Take an engine's own report.
+
+        :param taken: when the engine was asked.
+        """
+        self.chats.engine_read(engine, state, events, taken, now)
         effects = admitting.Effects()
         if state.leaving:
             effects.sends.extend(self._note_leaving(engine, now))
         return self._settled(effects, now)
 
-    def upstream_leaving(self, name: str, now: float) -> admitting.Effects:
-        """Note that an upstream refused work because it is leaving."""
-        sends = self._note_leaving(name, now)
+    def failed(self, failure: desk.Failure, now: float) -> admitting.Effects:
+        """Note an upstream that is leaving, or a service that crashed."""
+        sends: list[messages.Send] = []
+        if failure.leaving:
+            sends.extend(self._note_leaving(failure.upstream, now))
+        is_service = failure.target.startswith('services/')
+        if is_service and failure.end is desk.End.CRASHED:
+            suspected = self.chats.suspects.crashed_by(
+                failure.fingerprint, failure.upstream, now
+            )
+            sends.extend(
+                suspects.broadcast(suspected, self._routers, self.me),
+            )
         return self._settled(admitting.Effects(sends), now)
 
     def spend_retry(self, upstream: str, target: str, now: float) -> bool:
@@ -251,6 +270,7 @@
         """Return the state for the dump."""
         return Dump(
             self.me,
+            self.faults,
             self.settings.dump(now),
             self.members.dump(now),
             self.chats.dump(now),
@@ -350,6 +370,17 @@
         return sends + self._update_upstreams(now).sends
 
 
+def _report(
+    parts: targets.ModelParts,
+    me: ids.RouterId,
+    now: float,
+) -> messages.LoadReport:
+    """Return the load report of a model, and note it at the own home side."""
+    report = parts.owner.report(now)
+    parts.home.handle(me, report, now)
+    return report
+
+
 def _member(host: hosts.Host) -> messages.Member:
     leaving = host.state is hosts.HostState.LEAVING
     return messages.Member(
--- a/papayaloom/process/http_front.py
+++ b/papayaloom/process/http_front.py
@@ -76,14 +76,14 @@
             return _refuse(_FAULT, start)
 
     def dump(self) -> dict[str, object]:
-        """Return a copy of the front's state and the desk's dump."""
-        return {
-            'router': self._parts.router,
+        """Return a copy of the desk's state, and the front's beside it."""
+        front = {
             'open_requests': len(self._parts.watch),
             'dropped_cancels': self._parts.watch.dropped_cancels,
             'counts': dict(self.counts),
-            'desk': self._parts.office.dump(),
         }
+        state = msgspec.to_builtins(self._parts.office.dump())
+        return {'router': self._parts.router, **state, 'front': front}
 
     def _chat(
         self, environ: arrival.Environ, start: Start
@@ -162,9 +162,9 @@
         req = arrivals.accept(self._parts, environ, 'call')
         try:
             machine = arrivals.call_machine(self._parts, req, environ)
+            finish = self._relay.run_call(machine)
         except errors.RefusedError as exc:
             raise self._refused(req, exc) from exc
-        finish = self._relay.run_call(machine)
         req.entry.tries = machine.tries
         answer = finish.answer
         if isinstance(answer, errors.Problem):
--- a/papayaloom/version/schema.py
+++ b/papayaloom/version/schema.py
@@ -80,6 +80,8 @@
         setting.Unit.COUNT: '',
     }
 )
+# Below this, the nearest name is rarely the one that was meant.
+_SIMILARITY = 0.8
 # Greater integers do not survive a conversion to a 64-bit float.
 _MAX_INTEGER = 2**53
 
@@ -120,7 +122,7 @@
 
 def similar(path: str, known: typing.Iterable[str]) -> str:
     """Return a hint that names a known path similar to an unknown one."""
-    close = difflib.get_close_matches(path[:200], list(known), n=1)
+    close = difflib.get_close_matches(path[:200], list(known), 1, _SIMILARITY)
     return f'; did you mean {close[0]}?' if close else ''
 
 
@@ -129,13 +131,15 @@
     if declared.choices:
         return 'one of {0}'.format(', '.join(declared.choices))
     unit = _ACCEPTED_UNITS.get(declared.unit, f' {declared.unit.value}')
-    if declared.low is not None and declared.high is not None:
-        return f'{declared.kind.value} from {declared.low:g} to {declared.high:g}{unit}'
-    if declared.low is not None:
-        return f'{declared.kind.value} of at least {declared.low:g}{unit}'
-    if declared.high is not None:
-        return f'{declared.kind.value} of at most {declared.high:g}{unit}'
-    return f'{declared.kind.value}{unit}'
+    low, high = _plain(declared.low), _plain(declared.high)
+    kind = declared.kind.value
+    if low and high:
+        return f'{kind} from {low} to {high}{unit}'
+    if low:
+        return f'{kind} of at least {low}{unit}'
+    if high:
+        return f'{kind} of at most {high}{unit}'
+    return f'{kind}{unit}'
 
 
 def check(declared: setting.Setting, raw: object) -> Checked:
@@ -156,6 +160,13 @@
     return _check_number(declared, raw)
 
 
+def _plain(number: float | None) -> str:
+    """Return a bound in full digits, as operators must type it."""
+    if number is None:
+        return ''
+    return str(int(number)) if number == int(number) else repr(number)
+
+
 def _check_declarations(found: Schema) -> None:
     for path, declared in found.items():
         parts = path.split('.')
