--- a/features/operator.feature
+++ b/features/operator.feature
@@ -12,6 +12,9 @@
     Examples:
       | command                                   | status | sentence                                  |
       | get placement.lod_multiple                | 1      | did you mean placement.load_multiple?     |
+      | get limits.burst --branch=animals/a       | 1      | 'animals/a' is no branch name             |
+      | text models                               | 1      | 'models' is no branch name                |
+      | edit fleet FILE --base=x                  | 1      | cannot read                               |
       | set placement.load_multiple 99            | 1      | line 4: placement.load_multiple is out of range (accepted: number from 1 to 10 (a factor)) |
       | set placement.load_multiple 1.2 surplus   | 1      | unexpected argument: surplus              |
       | set limits.burst 1 --branch=models/a      | 1      | may not be set in branch models/a         |
@@ -94,6 +97,14 @@
     When the operator runs "fleet --wait=1 --json"
     Then it ends with status 1 and prints "Connection refused"
 
+  # Guards against a report that is missing when it matters most.
+  Scenario: The fleet report works while the store is down
+    Given router 1 has version 3 and router 2 has version 4
+    And the fault {"outage": true}
+    When the operator runs "fleet"
+    Then it ends with status 0 and prints "1 of 2 routers have the newest version 4"
+    And it says "compared with the routers only"
+
   # Guards against explanations that hide which routers were not asked.
   Scenario: Explain finds the record on whichever router has it
     Given router 2 has a record of "r-7" with the line "Status 200, verdict ran."
--- a/papayaloom/version/schema.py
+++ b/papayaloom/version/schema.py
@@ -131,13 +131,15 @@
     if declared.choices:
         return 'one of {0}'.format(', '.join(declared.choices))
     unit = _ACCEPTED_UNITS.get(declared.unit, f' {declared.unit.value}')
-    if declared.low is not None and declared.high is not None:
-        return f'{declared.kind.value} from {declared.low:g} to {declared.high:g}{unit}'
-    if declared.low is not None:
-        return f'{declared.kind.value} of at least {declared.low:g}{unit}'
-    if declared.high is not None:
-        return f'{declared.kind.value} of at most {declared.high:g}{unit}'
-    return f'{declared.kind.value}{unit}'
+    low, high = _plain(declared.low), _plain(declared.high)
+    kind = declared.kind.value
+    if low and high:
+        return f'{kind} from {low} to {high}{unit}'
+    if low:
+        return f'{kind} of at least {low}{unit}'
+    if high:
+        return f'{kind} of at most {high}{unit}'
+    return f'{kind}{unit}'
 
 
 def check(declared: setting.Setting, raw: object) -> Checked:
@@ -158,6 +160,13 @@
     return _check_number(declared, raw)
 
 
+def _plain(number: float | None) -> str:
+    """Return a bound in full digits, as operators must type it."""
+    if number is None:
+        return ''
+    return str(int(number)) if number == int(number) else repr(number)
+
+
 def _check_declarations(found: Schema) -> None:
     for path, declared in found.items():
         parts = path.split('.')
