Test the sockets between routers

Cause: connection/peers.py had no test; the ports of the locator's test were fixed, so two test runs on one machine would fail each other.

Change: scenarios for loopback delivery, the bound of 32 connections, closed sockets and a taken address; free ports from the system.

Conclusion: a peer that is not there delays no send.

--- a/features/control_messages.feature
+++ b/features/control_messages.feature
@@ -44,3 +44,14 @@
     Given an outbox with 6000 bytes a second and a burst of 12000
     When the budget is used up for longer than the longest wait
     Then waiting probes are dropped and waiting hand-overs are sent
+
+  Scenario: Sockets neither block nor grow without bound
+    Given an inbox on loopback
+    When packets are sent to it and to 40 addresses where nobody listens
+    Then the inbox has received its packets
+    And no more than 32 connections are open and no send took long
+    And a closed socket refuses to send
+
+  Scenario: An address that is taken is an error at once
+    Given an inbox on loopback
+    Then a second inbox on the same address fails
--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -10,6 +10,7 @@
 import behave
 import msgspec
 
+from features import free_port
 from papayaloom import clock, errors, hashing, messages
 from papayaloom.bench import fleet_net
 from papayaloom.commands import locator
@@ -223,13 +224,14 @@
 
 @behave.given('a running locator without a view')
 def running(context):
+    context.port = free_port.free_port()
     file = bootstrap.Locator(
         name='l',
         zone=ZONE,
         region='region-0',
         deployment='d',
         http='127.0.0.1:0',
-        local='127.0.0.1:47301',
+        local=f'127.0.0.1:{context.port}',
     )
     context.process = locator.Locator(file, clock.SystemClock())
     thread = threading.Thread(target=context.process.run)
@@ -263,7 +265,9 @@
 @behave.when('the router of its host publishes a view and dies')
 def publishes(context):
     members = [fleet_net.member(number, 6) for number in range(6)]
-    with contextlib.closing(views.Publisher('tcp://127.0.0.1:47301')) as sock:
+    with contextlib.closing(
+        views.Publisher(f'tcp://127.0.0.1:{context.port}')
+    ) as sock:
         for _ in range(100):
             sock.publish(view_of(members))
             if context.process.state.is_ready():
--- a/features/steps/control_messages_steps.py
+++ b/features/steps/control_messages_steps.py
@@ -1,11 +1,15 @@
 import collections
+import queue
 import random
+import time
 
 import behave
 import msgspec
+import pynng
 
+from features import free_port
 from papayaloom import ids, messages
-from papayaloom.connection import codec
+from papayaloom.connection import codec, peers
 from papayaloom.process import outbox
 
 KEY, NEW_KEY = b'first key of the test', b'second key of the test'
@@ -204,3 +208,50 @@
     assert dump.dropped['waited too long'] >= 10
     assert 'membership' not in dump.sent_bytes
     assert dump.sent_bytes['handover'] > 10 * 200
+
+
+@behave.given('an inbox on loopback')
+def inbox(context):
+    context.received = queue.Queue()
+    context.address = f'tcp://127.0.0.1:{free_port.free_port()}'
+    context.peers = peers.Peers(context.address, context.received.put)
+    context.peers.start()
+    context.add_cleanup(context.peers.close)
+
+
+@behave.when('packets are sent to it and to 40 addresses where nobody listens')
+def send_packets(context):
+    began = time.monotonic()
+    for number in range(40):
+        context.peers.send(f'tcp://127.0.0.{number + 2}:9', b'nobody')
+        if number % 8 == 0:
+            assert context.peers.send(context.address, b'hello')
+    context.took_s = time.monotonic() - began
+
+
+@behave.then('the inbox has received its packets')
+def has_received(context):
+    for _ in range(5):
+        assert context.received.get(timeout=10) == b'hello'
+
+
+@behave.then('no more than 32 connections are open and no send took long')
+def bounded(context):
+    assert context.peers.connections() == peers.MAX_CONNECTIONS
+    # Each of these connections would time out after seconds.
+    assert context.took_s < 5
+
+
+@behave.then('a closed socket refuses to send')
+def closed(context):
+    context.peers.close()
+    assert not context.peers.send(context.address, b'late')
+
+
+@behave.then('a second inbox on the same address fails')
+def taken(context):
+    try:
+        peers.Peers(context.address, context.received.put)
+    except pynng.exceptions.AddressInUse:
+        return
+    raise AssertionError('two inboxes listen on one address')
--- a/papayaloom/connection/peers.py
+++ b/papayaloom/connection/peers.py
@@ -87,6 +87,11 @@
             self.counts[Count.SENT] += 1
         return True
 
+    def connections(self) -> int:
+        """Return how many outgoing connections are open or being opened."""
+        with self._lock:
+            return len(self._outgoing)
+
     def close(self) -> None:
         """Close all sockets and wait for the inbox's thread."""
         with self._lock:
