--- a/papayaloom/bench/fleet.py
+++ b/papayaloom/bench/fleet.py
@@ -149,16 +149,18 @@
 
 
 def moved(size: int, seed: int) -> _Figures:
-    """Share of the chats with a new home when one host goes, times n."""
+    """Share of the chats with a new home when one host goes, times n.
+
+    The mean of a quarter of the hosts, each going alone: at 360 members a
+    single one is home to 56 of the chats, whose chance error is 13%. That
+    the chats of other hosts stay is tested in features/hashing.feature.
+    """
     figure = _figures(f'one host goes, n={size}', seed)
     members = [fleet_net.member(number, size).router for number in range(size)]
-    gone = random.Random(seed).choice(members)
-    rest = [router for router in members if router != gone]
+    gone = set(random.Random(seed).sample(members, max(size // 4, 1)))
     chats = [f'{seed}-{number}' for number in range(_CHATS)]
-    changed = sum(
-        hashing.first(chat, members) != hashing.first(chat, rest)
-        for chat in chats
-    )
+    homes = [hashing.first(chat, members) for chat in chats]
+    changed = sum(home in gone for home in homes) / len(gone)
     yield figure('chats_moved_share', changed / _CHATS * size, 'x 1/n')
 
 
