--- a/papayaloom/commands/standin.py
+++ b/papayaloom/commands/standin.py
@@ -6,7 +6,6 @@
 """
 
 import functools
-import importlib
 import sys
 import threading
 import typing
@@ -20,6 +19,7 @@
 from papayaloom.standins import batch, engine, engine_server, service
 from papayaloom.standins import faults as fault_switches
 from papayaloom.standins import hosts as host_list
+from papayaloom.standins import kv as key_value
 from papayaloom.standins import weights as weight_store
 
 
@@ -78,6 +78,8 @@
     speed = {key: properties.pop(key) for key in known & set(properties)}
     fields = {**properties, 'model': str(model), 'speed': speed}
     fields['name'] = str(name)
+    # The command line turns a version such as "1" into a number.
+    fields['version'] = str(fields.get('version', '1'))
     unknown = set(fields) - set(engine.Cfg.__struct_fields__)
     if unknown:
         _fail('engines have no property {0}'.format(', '.join(sorted(unknown))))
@@ -172,16 +174,19 @@
     name: str = 'kv',
     faults: str = '',
 ) -> None:
-    """Run a key-value service."""
-    try:
-        store = importlib.import_module('papayaloom.standins.kv')
-    except ImportError:
-        _fail('the key-value stand-in is not installed')
+    """Run a key-value service.
+
+    :param faults: fields of ``papayaloom.standins.kv.Faults``.
+    """
     try:
-        bound, switches = store.server(address)
+        bound, switches = key_value.server(address)
     except (OSError, ValueError) as exc:
         _fail(f'cannot listen: {exc}')
-    _switch(switches, faults)
+    for pair in filter(None, faults.split(',')):
+        field, _, number = pair.partition('=')
+        if field not in switches.__struct_fields__:
+            _fail(f'{pair!r} is not a fault')
+        setattr(switches, field, msgspec.json.decode(number or 'true'))
     _serve(bound)
 
 
--- a/papayaloom/process/orders.py
+++ b/papayaloom/process/orders.py
@@ -231,7 +231,7 @@
         if self._fleet.must_wait(send, now):
             self._blocked[name] = 'a lost order may still arrive'
             return []
-        reason, outputs = self._obstacle(want, seen, step, now)
+        reason, outputs = self._obstacle(name, want, step, now)
         if reason:
             self._blocked[name] = reason
             return outputs
@@ -255,20 +255,20 @@
 
     def _obstacle(
         self,
+        name: ids.EngineId,
         want: orders_plan.Desired | None,
-        seen: orders_plan.Seen,
         step: orders_plan.Step,
         now: float,
     ) -> tuple[str, list[Output]]:
         if not step.disrupts:
             return '', []
-        if not seen.healthy:
+        if not self._fleet.seen[name].healthy:
             return 'the engine is loading', []
         reason: str = ''
         outputs: list[Output] = []
         if want and step.weights:
             reason, reads = self._pace.obstacle(want.model, step.weights, now)
             outputs += reads
-        if not reason and not self._fleet.may_disrupt(self._desired, seen, now):
+        if not reason and not self._fleet.may_disrupt(name, self._desired, now):
             reason = 'orders.capacity_floor'
         return reason, outputs
--- a/papayaloom/process/orders_fleet.py
+++ b/papayaloom/process/orders_fleet.py
@@ -139,27 +139,25 @@
         return self._assigned
 
     def may_disrupt(
-        self,
-        desired: orders_plan.Models,
-        seen: orders_plan.Seen,
-        now: float,
+        self, name: ids.EngineId, desired: orders_plan.Models, now: float
     ) -> bool:
         """Return whether an engine may stop serving its current model."""
+        seen = self.seen[name]
         model = seen.state.model
         want = desired.get(model)
         if want is None or not seen.serving:
             return True
         serving = [
-            name
-            for name, other in self.seen.items()
-            if other.serving and other.state.model == model
+            other
+            for other, found in self.seen.items()
+            if found.serving and found.state.model == model
         ]
-        others = [
-            name
-            for name in serving
-            if name != seen.state.engine and not self._is_disrupted(name, now)
+        left = [
+            other
+            for other in serving
+            if other != name and not self._is_disrupted(other, now)
         ]
-        return len(others) >= want.must_serve
+        return len(left) >= want.must_serve
 
     def prepare(
         self,
--- a/papayaloom/process/orders_lease.py
+++ b/papayaloom/process/orders_lease.py
@@ -36,13 +36,22 @@
         """The takeover wait, at least the term and the longest send."""
         return max(self.takeover_wait_s, self.lease_s + self.longest_send_s)
 
+    @property
+    def margin_s(self) -> float:
+        """The send margin, at most half of the term.
+
+        A lease is renewed after a third of its term, so a larger margin could
+        leave no time to send in.
+        """
+        return min(self.send_margin_s, self.lease_s / 2)
+
     @property
     def arrival_s(self) -> float:
         """Longest time from a check until the order is at the engine.
 
         Up to here a send of an old holder comes before its successor's.
         """
-        return self.send_margin_s + self.wait_s
+        return self.margin_s + self.wait_s
 
 
 class State(enum.Enum):
@@ -101,7 +110,7 @@
         """Return whether an order may be sent at this moment."""
         left_s = self._until - now
         ready = self.holds(now) and now >= self.ready_at
-        return ready and left_s > self._cfg.send_margin_s
+        return ready and left_s > self._cfg.margin_s
 
     def lose(self, now: float) -> None:
         """Give up the lease, for example when an engine refused its token."""
