--- a/.ci/count.py
+++ b/.ci/count.py
@@ -23,6 +23,14 @@
     }
 
 
+def print_errors(scenario):
+    """Print the error of each failed step of a scenario."""
+    for step in scenario.get('steps', ()):
+        message = step.get('result', {}).get('error_message')
+        if message:
+            print('\n'.join(message))
+
+
 def main(report):
     """Print the counts of one behave JSON report and exit accordingly."""
     allowed = known_red()
@@ -39,6 +47,7 @@
             else:
                 failed += 1
                 print('failed: {0}'.format(scenario['name']))
+                print_errors(scenario)
     print('{0} passed, {1} failed'.format(passed, failed + red))
     return 1 if failed or not passed else 0
 
--- a/papayaloom/bench/report.py
+++ b/papayaloom/bench/report.py
@@ -71,7 +71,10 @@
     return target.text(), verdict
 
 
-def _table(head: tuple[str, ...], rows: list[tuple[str, ...]]) -> list[str]:
+def _table(
+    head: tuple[str, ...],
+    rows: typing.Sequence[tuple[str, ...]],
+) -> list[str]:
     return [
         '| {0} |'.format(' | '.join(head)),
         '|{0}'.format(' --- |' * len(head)),
