--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -213,6 +213,12 @@
     assert found['tokens'] == len(context.tokens)
 
 
+@behave.then('the explanation says "{sentence}"')
+def explanation_says(context, sentence):
+    page = context.router.ask('GET', '/status/records/ask-1')
+    assert sentence in json.loads(page.data)[0]['explanation']
+
+
 @behave.then('the outcomes of the tries are "{outcomes}"')
 def outcomes_are(context, outcomes):
     found = [attempt['outcome'] for attempt in the_record(context)['tries']]
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -21,6 +21,7 @@
     Given an engine that sends events of another request in between
     When a caller asks for a stream
     Then the caller gets every token once, and the end mark
+    And the explanation says "Events not delivered: 7 wrong id."
 
   Scenario: A stream that stops without its end mark is not finished
     Given an engine that ends its stream properly but without the end mark
--- a/papayaloom/request/record.py
+++ b/papayaloom/request/record.py
@@ -99,6 +99,14 @@
             f'{decision.branch or "the default"} in version '
             f'{decision.version}.',
         )
+    counts = msgspec.structs.asdict(record.dropped)
+    dropped = [
+        f'{count} {name.replace("_", " ")}'
+        for name, count in counts.items()
+        if count
+    ]
+    if dropped:
+        lines.append(f'Events not delivered: {", ".join(dropped)}.')
     ending = f'Status {record.status}, verdict {record.verdict}'
     if record.problem:
         ending = f'{ending}, problem "{record.problem}"'
