Forget requests that an internal error ended

Cause: when the desk raised an unexpected exception before the first token, the request stayed in the watch, so a planned stop would have waited for it. Early refusals such as 401 had no request id and no settings version.

Change: every exception before the first token closes the request and keeps its record; refusals carry the caller's id and the settings version.

Conclusion: an internal error leaves no open request behind.

--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -369,7 +369,15 @@
 @behave.then('the caller gets an internal error with the verdict "{verdict}"')
 def internal_error(context, verdict):
     assert context.answer.status == 500
-    assert json.loads(context.answer.data)['verdict'] == verdict
+    document = json.loads(context.answer.data)
+    assert document['verdict'] == verdict
+    assert document['request_id'] == 'ask-1'
+    assert document['settings_version'] == 7
+
+
+@behave.then('no request is left open')
+def none_open(context):
+    assert len(context.router.watch) == 0
 
 
 MALFORMED = {
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -92,6 +92,7 @@
     Given an engine that works
     When the desk fails with a timeout while a caller asks for a stream
     Then the caller gets an internal error with the verdict "may have run"
+    And no request is left open
 
   Scenario Outline: A malformed request is refused and harms no other request
     Given an engine that works
--- a/papayaloom/process/http_front.py
+++ b/papayaloom/process/http_front.py
@@ -64,16 +64,15 @@
             return self._status(path, start)
         except errors.RefusedError as exc:
             self.counts[f'refused {exc.problem.status}'] += 1
-            return _refuse(exc.problem, start)
+            return _refuse(self._identified(exc.problem, environ), start)
         except arrivals.SlowBodyError:
             # The server answers 408 and closes the connection.
             raise
         except Exception:
             # The server would answer 408 to a TimeoutError from any part,
             # with the verdict "not run", although the request may have left.
-            _log.exception('front: internal error', path=path)
-            self.counts['internal errors'] += 1
-            return _refuse(_FAULT, start)
+            self._count_fault(path)
+            return _refuse(self._identified(_FAULT, environ), start)
 
     def dump(self) -> dict[str, object]:
         """Return a copy of the desk's state, and the front's beside it."""
@@ -98,7 +97,7 @@
         frames = self._relay.run_chat(machine, watched)
         try:
             first = next(frames, b'')
-        except (errors.RefusedError, upstream_io.CallerGoneError) as exc:
+        except Exception as exc:
             self._parts.watch.remove(watched)
             raise self._chat_refused(req, machine, exc) from exc
         req.entry.first_byte_s = self._parts.clock.monotonic() - req.at
@@ -212,12 +211,21 @@
     def _chat_refused(
         self, req: arrivals.Arrived, machine: chat.Chat, exc: Exception
     ) -> errors.RefusedError:
-        req.problem = _GONE
+        problem = _FAULT
         if isinstance(exc, errors.RefusedError):
-            req.problem = self._complete(exc.problem, req)
+            problem = exc.problem
+        elif isinstance(exc, upstream_io.CallerGoneError):
+            problem = _GONE
+        else:
+            self._count_fault(req.entry.target)
+        req.problem = self._complete(problem, req)
         self._keep_chat(req, machine)
         return errors.RefusedError(req.problem)
 
+    def _count_fault(self, where: str) -> None:
+        _log.exception('front: internal error', where=where)
+        self.counts['internal errors'] += 1
+
     def _refused(
         self, req: arrivals.Arrived, exc: errors.RefusedError
     ) -> errors.RefusedError:
@@ -226,6 +234,17 @@
         self._keep(req, problem.status, problem.verdict)
         return errors.RefusedError(problem)
 
+    def _identified(
+        self, problem: errors.Problem, environ: arrival.Environ
+    ) -> errors.Problem:
+        if problem.request_id:
+            return problem
+        return msgspec.structs.replace(
+            problem,
+            request_id=arrival.stated_id(environ),
+            settings_version=self._parts.office.settings().version,
+        )
+
     def _complete(
         self, problem: errors.Problem, req: arrivals.Arrived
     ) -> errors.Problem:
--- a/papayaloom/request/arrival.py
+++ b/papayaloom/request/arrival.py
@@ -54,6 +54,12 @@
     )
 
 
+def stated_id(environ: Environ) -> str:
+    """Return the caller's request id, empty when absent or malformed."""
+    text = environ.get('HTTP_X_REQUEST_ID', '')
+    return text if _ID.fullmatch(text) else ''
+
+
 def bearer(environ: Environ) -> str:
     """Return the bearer key, empty without one."""
     scheme, _, key = environ.get('HTTP_AUTHORIZATION', '').partition(' ')
