--- a/features/addresses.feature
+++ b/features/addresses.feature
@@ -51,6 +51,12 @@
       | of an earlier boot    |
       | of another deployment |
 
+  Scenario: A router whose clock went back is heard again after a silence
+    Given a locator with a view of its router
+    When the router falls silent for 9 seconds
+    And a view arrives that is of an earlier boot
+    Then the locator has taken it
+
   Scenario: The locator answers over HTTP and keeps the last view
     Given a running locator without a view
     Then it is healthy, not ready, and refuses with 503 and Retry-After
--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -222,6 +222,12 @@
     assert context.locator.dump(context.now).view_sequence == 5
 
 
+@behave.then('the locator has taken it')
+def has_taken(context):
+    assert context.taken
+    assert context.locator.dump(context.now).source == 'view'
+
+
 @behave.given('a running locator without a view')
 def running(context):
     context.port = free_port.free_port()
--- a/papayaloom/process/location.py
+++ b/papayaloom/process/location.py
@@ -69,6 +69,9 @@
             old.boot,
             old.sequence,
         )
+        # After a silence even an older boot is taken: the clock of the host
+        # went back, and the router that publishes now is the one that runs.
+        is_older = is_older and not self._is_silent(now)
         if view.deployment != self._deployment or is_older:
             self._ignored += 1
             return False
