--- a/papayaloom/process/holds.py
+++ b/papayaloom/process/holds.py
@@ -12,6 +12,9 @@
 # Longest time until a grant stands in the renewals of its home.
 _UNKNOWN_S = 1.0
 
+# Hold times for which an expired hold counts when its engine does not report.
+_LAPSE = 3
+
 # Seconds of count history that a lagging engine report is compared with.
 _HISTORY_S = 5.0
 
@@ -180,7 +183,7 @@
         """Drop grants whose hold time has passed.
 
         Their requests may still run, so they count as extra until the next
-        report of their engine, or for one more hold time.
+        report of their engine, or for some more hold times.
         """
         for engine, grants in self._grants.items():
             late = [key for key, held in grants.items() if held.expires <= now]
@@ -188,7 +191,7 @@
                 grants.pop(key)
             lapsed = self._lapsed.get(engine, [])
             self._lapsed[engine] = [
-                at for at in lapsed if now - at < self.hold_s
+                at for at in lapsed if now - at < _LAPSE * self.hold_s
             ]
             if late:
                 self._note(engine, now)
--- a/papayaloom/process/loads.py
+++ b/papayaloom/process/loads.py
@@ -324,8 +324,8 @@
         )
         if known and fresh and load.sequence <= known.load.sequence:
             return
-        if known is not None and not fresh:
-            # The router may have started again with another clock.
+        if known is not None and load.sequence <= known.load.sequence:
+            # The router has started again with another clock.
             self._clocks.forget(load.router)
         taken = self._clocks.taken(load, now)
         if known is not None and fresh:
--- a/papayaloom/process/promises.py
+++ b/papayaloom/process/promises.py
@@ -15,10 +15,13 @@
 
     :param promise_s: seconds for which a promise holds.
     :param renew_s: seconds between two requests for the same promise.
+    :param confirm_s: seconds after the end of a promise in which its holder
+        may still use a part of the cap.
     """
 
     promise_s: float = 5
     renew_s: float = 1
+    confirm_s: float = 30
 
 
 class Held(msgspec.Struct, frozen=True):
@@ -116,8 +119,10 @@
         promised: list[tuple[ids.EngineId, int]] = []
         for engine, running in counts.items():
             earlier = self._given.get(engine)
-            if earlier and earlier.first != first and earlier.until > now:
-                continue
+            if earlier and earlier.first != first:
+                # The earlier holder still uses a part of the cap.
+                if earlier.until + self._cfg.confirm_s > now:
+                    continue
             self._given[engine] = Given(first, now + self._cfg.promise_s)
             promised.append((engine, running))
         return messages.Send(
@@ -130,6 +135,14 @@
             messages.Priority.ADMISSION,
         )
 
+    def release(self, first: ids.RouterId) -> None:
+        """Drop what was promised to a router that has handed over."""
+        self._given = {
+            engine: given
+            for engine, given in self._given.items()
+            if given.first != first
+        }
+
     def take(
         self,
         sender: ids.RouterId,
--- a/papayaloom/process/rights.py
+++ b/papayaloom/process/rights.py
@@ -127,6 +127,7 @@
                 self._promises.take(sender, message)
             case messages.Handover():
                 self._ranks.leave(sender)
+                self._promises.release(sender)
                 self._handed.update(message.engines)
         return []
 
@@ -255,22 +256,26 @@
         """Return half of the headroom that the engine's own report shows.
 
         The first and the second that lost touch both read the engine's count.
-        Each has at most half of what is left to the cap granted after it, the
-        first the larger half, so both together stay within the cap.
+        Each has at most half of what is left to the cap granted after it. The
+        larger half is for the one that promised nothing: both may think that
+        they rank first.
         """
         running, taken = self._reports.get(engine, (cap, float('-inf')))
         if now - taken > self._cfg.report_lag_s or not self._knew(engine, now):
             return None
         unreported = self._holds.count_since(engine, taken - _TRANSIT_S)
         left = max(0, cap - running)
-        first = self._ranks.order(engine)[0] == self._router
-        allowed = (left + first) // 2 - unreported
+        larger = self._promises.given(engine) is None
+        allowed = (left + larger) // 2 - unreported
         limit = self._holds.count(engine) + max(0, allowed)
         return Right(limit, 0, PROMISE)
 
     def _knew(self, engine: ids.EngineId, now: float) -> bool:
-        """Tell whether the other router of the two knows of this one."""
+        """Tell whether the other router of the two still counts on this one.
+
+        It takes another second only when this one is confirmed gone.
+        """
         held = self._promises.newest(engine)
-        if held and held.until + self._cfg.confirm_s > now:
-            return True
-        return self._promises.given(engine) is not None
+        given = self._promises.given(engine)
+        ends = [one.until for one in (held, given) if one is not None]
+        return max(ends, default=float('-inf')) + self._cfg.confirm_s > now
