--- a/papayaloom/bench/placement_policies.py
+++ b/papayaloom/bench/placement_policies.py
@@ -414,11 +414,20 @@
             if isinstance(answer, messages.Answer):
                 self._count(send.to, answer)
             delay = self._delay(node.name, send)
+            if delay is None and isinstance(answer, messages.Answer):
+                self._uncount(send.to, answer)
             if delay is not None:
                 self.world.after(
                     delay, self._deliver, send.to, node.name, answer, now
                 )
 
+    def _uncount(self, home: ids.RouterId, answer: messages.Answer) -> None:
+        """Take back an admission whose answer is lost: it never runs."""
+        job = self._tries.get((home, answer.ask))
+        if job and answer.state == messages.GrantState.GRANTED:
+            if job.number not in self.world.engines[answer.engine].running:
+                self.world.give_back(job, answer.engine)
+
     def _delay(self, sender: ids.RouterId, send: messages.Send) -> float | None:
         """Return a message's time on the way, or nothing when it is lost."""
         if send.to == sender:
