--- a/papayaloom/process/ledger.py
+++ b/papayaloom/process/ledger.py
@@ -27,8 +27,10 @@
 
 # Decisions that are remembered to answer a grant that comes late.
 _KEPT_DECISIONS = 10_000
-# An outcome is sent again at these ages, for a loss of messages of 5%.
+# An outcome without an answer is sent again at these ages, for a loss of
+# messages of 5%, and is then recorded by this router itself.
 _REPEATS_S = (1, 3)
+_RECORD_HERE_S = 6
 # Leaves room for the counted part below 2**64.
 _BASE_BITS = 63
 
@@ -38,7 +40,8 @@
 
     :param claim_timeout_s: longest wait for the decision on a call.
     :param forward_timeout_s: wait for the responsible router, after which
-        this router writes the record itself.
+        this router writes the record itself; the claim is sent again after
+        half of it, because a lost message is likelier than a lost router.
     """
 
     claim_timeout_s: float = 2
@@ -84,13 +87,14 @@
     location: ledger_record.Location
     ask: ledger_slot.Ask
     local_at: float
-    local: bool = False
+    resend_at: float
 
 
 class _Repeat(msgspec.Struct, frozen=True):
     due: float
     number: int
     outcome: messages.Outcome
+    is_last: bool = False
 
 
 class Ledger:
@@ -160,15 +164,12 @@
             f'{wire:x}',
             now + self._cfg.claim_timeout_s,
         )
-        pending = _Pending(location, ask, now + self._cfg.forward_timeout_s)
+        wait_s = self._cfg.forward_timeout_s
+        pending = _Pending(location, ask, now + wait_s, now + wait_s / 2)
         self._pending[wire] = pending
-        responsible = self._responsible[location.shard]
-        if responsible == self._me:
+        if self._responsible[location.shard] == self._me:
             return self._ask_here(pending, now)
-        forwarded = messages.Claim(
-            wire, location.shard, location.slot, location.key, ask.attempt
-        )
-        return [_send(responsible, forwarded)]
+        return [self._forward(pending)]
 
     def record(
         self,
@@ -232,10 +233,13 @@
                 )
             elif pending.local_at <= now:
                 outputs += self._ask_here(pending, now)
+            elif pending.resend_at <= now:
+                pending.resend_at = float('inf')
+                outputs.append(self._forward(pending))
         for repeat in tuple(self._repeats):
             if repeat.due <= now:
                 self._repeats.remove(repeat)
-                outputs += self._deliver(repeat.outcome, now)
+                outputs += self._deliver(repeat, now)
         return outputs + self._route(self._writer.sweep(self._mine, now), now)
 
     def dump(self) -> Dump:
@@ -247,9 +251,20 @@
             msgspec.structs.replace(self._writer.counts),
         )
 
+    def _forward(self, pending: _Pending) -> messages.Send:
+        location = pending.location
+        claim = messages.Claim(
+            pending.ask.number,
+            location.shard,
+            location.slot,
+            location.key,
+            pending.ask.attempt,
+        )
+        return _send(self._responsible[location.shard], claim)
+
     def _ask_here(self, pending: _Pending, now: float) -> list[Output]:
-        pending.local = True
         pending.local_at = float('inf')
+        pending.resend_at = float('inf')
         outputs = self._writer.ask(pending.location, pending.ask, now)
         return self._route(outputs, now)
 
@@ -316,19 +331,20 @@
             status,
             content[: ledger_record.MAX_CONTENT],
         )
-        if pending.local:
+        number = pending.ask.number
+        if self._responsible[location.shard] == self._me:
             return self.handle(self._me, outcome, now)
         for age_s in _REPEATS_S:
-            self._repeats.append(
-                _Repeat(now + age_s, pending.ask.number, outcome)
-            )
-        return self._deliver(outcome, now)
-
-    def _deliver(self, outcome: messages.Outcome, now: float) -> list[Output]:
-        responsible = self._responsible[outcome.shard]
-        if responsible == self._me:
-            return self.handle(self._me, outcome, now)
-        return [_send(responsible, outcome)]
+            self._repeats.append(_Repeat(now + age_s, number, outcome))
+        last = _Repeat(now + _RECORD_HERE_S, number, outcome, is_last=True)
+        self._repeats.append(last)
+        return self._deliver(_Repeat(now, number, outcome), now)
+
+    def _deliver(self, repeat: _Repeat, now: float) -> list[Output]:
+        responsible = self._responsible[repeat.outcome.shard]
+        if repeat.is_last or responsible == self._me:
+            return self.handle(self._me, repeat.outcome, now)
+        return [_send(responsible, repeat.outcome)]
 
 
 def _asked(
--- a/papayaloom/process/ledger_writer.py
+++ b/papayaloom/process/ledger_writer.py
@@ -158,7 +158,10 @@
             return answered + self._work(slot, now)
         if isinstance(stored, store_calls.Leased):
             return []
-        self.counts.conflicts += isinstance(stored, store_calls.Conflict)
+        if isinstance(stored, store_calls.Conflict):
+            # Waiting would let the other router change the record again.
+            self.counts.conflicts += 1
+            self._write_at.pop(slot.shard, None)
         return self._load(slot, stored, now)
 
     def tick(self, now: float, unix_ms: int) -> list[Output]:
