Fix the direction of priorities, empty homes after a restart, and single places

Cause: found by reading and by features/core.feature. X-Priority counts upwards and the owners' queues downwards, so the least urgent request went first. With placement.most_running 1 every request was refused, because the only place was kept for other organisations. Limits on callers in the tree took effect in no process. Result: features/core.feature 17 passed; four of the scenarios fail without the change they belong to (17 of 17 now, 13 of 13 before they were added).

--- a/features/core.feature
+++ b/features/core.feature
@@ -76,3 +76,27 @@
     When a chat runs to its end through its home
     And its home hands over and stops
     Then its next home gives the engine of its last turn
+
+  Scenario: A router that comes back gets the hints of its chats
+    When a chat runs to its end through its home
+    And its home hands over and stops
+    And that router starts again
+    Then it gives the engine of the chat's last turn
+
+  Scenario: A leaving router stays home of its chats until it has stopped
+    When a chat runs to its end through its home
+    And its home announces that it leaves
+    Then every router still names it as home
+
+  Scenario: A more urgent request is admitted before an earlier one
+    X-Priority is higher for urgent requests, the queue counts the other way.
+    When all places are taken and requests with priority 1 and 8 wait
+    And one place becomes free
+    Then the request with priority 8 is granted and the other one waits
+
+  Scenario: An engine that runs one request at a time is used
+    With placement.most_running 1 the place kept for other organisations was
+    the only one, and every request was refused.
+    When an edit sets placement.most_running to 1 for the model
+    And a chat runs to its end through router-0
+    Then the engine had one request
--- a/features/machines/fleet.py
+++ b/features/machines/fleet.py
@@ -116,7 +116,7 @@
             chat,
             'basking',
             mark or f'mark-{ticket}',
-            0,
+            fields.pop('priority', 5),
             fields.pop('deadline_s', 10),
             200,
             **fields,
--- a/features/router.py
+++ b/features/router.py
@@ -19,6 +19,7 @@
 def settings(**changes):
     values = {entry.path: entry.default for entry in requests.SETTINGS}
     values['organisation.key_hashes'] = ()
+    values['organisation.priority_ceiling'] = 9
     values['retry.budget_ratio'] = 0.1
     values['retry.base_s'] = 0.001
     values.update(
--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -360,3 +360,88 @@
     parts = context.fleet.nodes[heir].core.chats.models['basking']
     kept = parts.home.hint('chat-1')
     assert kept is not None and kept.engine == context.engine
+
+
+@behave.when('that router starts again')
+def starts_again(context):
+    context.fleet.run(8)
+    context.fleet.boot(context.home)
+    context.fleet.run(5)
+
+
+@behave.then("it gives the engine of the chat's last turn")
+def hint_given_back(context):
+    parts = context.fleet.nodes[context.home].core.chats.models['basking']
+    kept = parts.home.hint('chat-1')
+    assert kept is not None and kept.engine == context.engine
+
+
+@behave.when('its home announces that it leaves')
+def announces(context):
+    context.fleet.do(
+        context.home,
+        lambda core, now: admitting.Effects(core.members.leave(now)),
+    )
+    context.fleet.run(3)
+
+
+@behave.then('every router still names it as home')
+def still_home(context):
+    for node in context.fleet.nodes.values():
+        assert node.core.chats.home_of('chat-1') == context.home
+        entry = node.core.members.table.get(context.home)
+        assert entry.leaving or node.name == context.home
+
+
+@behave.when('all places are taken and requests with priority 1 and 8 wait')
+def place_taken(context):
+    context.fleet = harness.Fleet(engines=1)
+    context.fleet.run(15)
+    commit(
+        context,
+        'models/basking',
+        '{"settings": {"placement": {"most_running": 8}}}',
+    )
+    context.fleet.run(1)
+    # One of the eight places is kept for other organisations.
+    for number in range(7):
+        ticket = context.fleet.admit('router-0', f'first-{number}')
+        context.fleet.run(1)
+        context.held = granted(context, 'router-0', ticket)
+    context.waiting = {}
+    for priority in (1, 8):
+        context.waiting[priority] = context.fleet.admit(
+            'router-0', f'second-{priority}', priority=priority, deadline_s=30
+        )
+        context.fleet.run(0.1)
+
+
+@behave.when('one place becomes free')
+def place_free(context):
+    context.fleet.run(1.5)
+    outcomes = context.fleet.nodes['router-0'].outcomes
+    assert not any(ticket in outcomes for ticket in context.waiting.values())
+    context.fleet.release('router-0', context.held)
+    context.fleet.run(1)
+
+
+@behave.then('the request with priority 8 is granted and the other one waits')
+def urgent_first(context):
+    granted(context, 'router-0', context.waiting[8])
+    assert context.fleet.outcome('router-0', context.waiting[1]) is None
+
+
+@behave.when('an edit sets placement.most_running to 1 for the model')
+def one_place(context):
+    commit(
+        context,
+        'models/basking',
+        '{"settings": {"placement": {"most_running": 1}}}',
+    )
+    context.fleet.run(1)
+    context.fleet.sent_to.clear()
+
+
+@behave.then('the engine had one request')
+def had_one(context):
+    assert [engine for _, engine in context.fleet.sent_to] == [context.engine]
--- a/papayaloom/bench/__main__.py
+++ b/papayaloom/bench/__main__.py
@@ -9,7 +9,14 @@
 import fire
 import msgspec
 
-BENCHES = ('placement', 'limits', 'fleet', 'lasting', 'streaming')
+BENCHES = (
+    'placement',
+    'limits',
+    'fleet',
+    'lasting',
+    'capacity',
+    'streaming',
+)
 
 
 def bench(*, smoke: bool = False, seed: int = 1, only: str = '') -> None:
--- a/papayaloom/process/admission.py
+++ b/papayaloom/process/admission.py
@@ -375,7 +375,10 @@
     than their share of it, so that a surge of one of them does not let the
     others wait.
     """
-    shared = cfg.most_running - math.ceil(cfg.most_running * cfg.reserve)
+    # An engine that runs one request at a time keeps no place free.
+    shared = max(
+        1, cfg.most_running - math.ceil(cfg.most_running * cfg.reserve)
+    )
 
     def admits(organisation: ids.OrgId) -> bool:
         full = room.load >= shared
--- a/papayaloom/process/admitting.py
+++ b/papayaloom/process/admitting.py
@@ -11,7 +11,7 @@
 
 from papayaloom import errors, ids, messages
 from papayaloom.process import claims, placement
-from papayaloom.request import desk
+from papayaloom.request import arrival, desk
 
 _BUSY = 503
 _FALLBACK_RETRY_S = 1
@@ -385,7 +385,8 @@
         ask.request,
         ask.organisation,
         ask.chat,
-        ask.priority,
+        # Queues of owners order by urgency, 0 first.
+        arrival.HIGHEST - ask.priority,
         now + ask.deadline_s,
         ask.prompt_tokens,
         ask.prefixes,
--- a/papayaloom/process/arrivals.py
+++ b/papayaloom/process/arrivals.py
@@ -130,12 +130,15 @@
     entry = req.entry
     entry.target = f'models/{body.model}'
     entry.subject = req.headers.chat
+    ceiling = req.settings.resolve(
+        'organisation.priority_ceiling', org=entry.organisation
+    )
     facts = chat.Facts(
         request_id=entry.request_id,
         upstream_id=entry.upstream_id,
         organisation=entry.organisation,
         chat=req.headers.chat,
-        priority=req.headers.priority,
+        priority=min(req.headers.priority, ceiling.value),
         arrived=req.at,
         deadline=req.deadline,
         fingerprint=arrival.fingerprint(
--- a/papayaloom/process/chats.py
+++ b/papayaloom/process/chats.py
@@ -325,20 +325,17 @@
     def handover(self) -> _Sends:
         """Return the placement state for the routers that are next in rank."""
         others = [one for one in self._grid.routers() if one != self._me]
-        sends: _Sends = []
-
-        def heir_of(chat: ids.ChatId) -> ids.RouterId | None:
-            return hashing.first(chat, others)
-
+        sends = hints_for(
+            self.models.values(),
+            others,
+            lambda chat: hashing.first(chat, others),
+        )
         for parts in self.models.values():
-            batches = parts.home.handover(heir_of)
-            for heir, batch in batches.items():
-                sends.extend(_batched(heir, batch))
             counts = parts.owner.holds.handover()
-            for peer in others:
-                sends.append(
-                    messages.Send(peer, counts, messages.Priority.HANDOVER),
-                )
+            sends.extend(
+                messages.Send(peer, counts, messages.Priority.HANDOVER)
+                for peer in others
+            )
         return sends
 
     def dump(self, now: float) -> Dump:
@@ -478,6 +475,23 @@
         return standing is not ejection.Standing.EJECTED
 
 
+def hints_for(
+    models: typing.Iterable[targets.ModelParts],
+    joined: typing.Collection[ids.RouterId],
+    home_of: typing.Callable[[ids.ChatId], ids.RouterId | None],
+) -> _Sends:
+    """Return the hints whose home is one of some routers.
+
+    :param joined: routers that are home of these chats from now on.
+    """
+    sends: _Sends = []
+    for parts in models:
+        batches = parts.home.handover(home_of)
+        for heir in sorted(batches.keys() & set(joined)):
+            sends.extend(_batched(heir, batches[heir]))
+    return sends
+
+
 def _engine_of(message: messages.Message) -> ids.EngineId | None:
     match message:
         case messages.Ask() | messages.Hold() | messages.Release():
--- a/papayaloom/process/configuration.py
+++ b/papayaloom/process/configuration.py
@@ -202,4 +202,5 @@
 
 def callers(settings: snapshot.Snapshot) -> caller.Limits:
     """Return the limits on callers."""
-    return fill(caller.Limits(), settings, 'callers')
+    idle = settings.resolve('callers.connections').value
+    return fill(caller.Limits(), settings, 'callers', idle=idle)
--- a/papayaloom/process/core.py
+++ b/papayaloom/process/core.py
@@ -94,7 +94,10 @@
         self._listed: frozenset[ids.RouterId] | None = None
         self._hosts = hosts.HostList(())
         self._leaving = leaving.Leaving()
+        self._listed_at: float = 0
         self._members_due = float('-inf')
+        self._seen_revision: tuple[int, float] = (-1, 0)
+        self._has_dead = False
         self._routers: tuple[ids.RouterId, ...] = (me.router,)
         self._everywhere: list[ids.RouterId] = [me.router]
         held.subscribe(self._configure)
@@ -126,7 +129,7 @@
         effects.calls.append(self.claims.tick(now, unix_ms))
         effects.sends.extend(self.members.tick(now))
         effects.sends.extend(self.settings.tick(now))
-        self._update_members(now)
+        effects.sends.extend(self._update_members(now))
         reports = [
             _report(parts, self.me, now) for parts in self.chats.models.values()
         ]
@@ -143,6 +146,7 @@
         self._hosts = listed
         entries = [one for one in listed.hosts if one.kind is hosts.Kind.ENTRY]
         self._listed = frozenset(ids.RouterId(one.host) for one in entries)
+        self._listed_at = now
         self.members.host_list((_member(one) for one in entries), now)
         return self._settled(self._update_upstreams(now), now)
 
@@ -329,16 +333,31 @@
                 waiting.extend(further.sends)
         return settled
 
-    def _update_members(self, now: float) -> None:
+    def _update_members(self, now: float) -> list[messages.Send]:
+        """Take the newest membership when it may have changed.
+
+        A leaving router stays home and owner until it has handed over.
+        """
         if now < self._members_due:
-            return
+            return []
         self._members_due = now + _MEMBERS_PERIOD_S
+        revision = (self.members.table.revision, self._listed_at)
+        if revision == self._seen_revision and not self._has_dead:
+            return []
+        self._seen_revision = revision
+        known = [
+            entry
+            for entry in self.members.table.entries.values()
+            if entry.known and not entry.gone
+        ]
+        self._has_dead = not all(entry.is_alive for entry in known)
         members = [
             entry.member
-            for entry in self.members.table.entries.values()
-            if entry.known and entry.member.region == self._region
+            for entry in known
+            if entry.member.region == self._region
         ]
-        serving = {one.router for one in self.members.alive(leaving=False)}
+        serving = {one.router for one in self.members.alive()}
+        before = set(self._routers)
         self._routers = tuple(
             sorted(
                 one.router
@@ -352,6 +371,13 @@
             # Calls of all regions share one ledger.
             self._everywhere = everywhere
             self.claims.ledger.update_members(everywhere)
+        # A router that comes back finds no placement hints in its memory.
+        joined = set(self._routers) - before - {self.me}
+        if not joined:
+            return []
+        return chats.hints_for(
+            self.chats.models.values(), joined, self.chats.home_of
+        )
 
     def _update_upstreams(self, now: float) -> admitting.Effects:
         names = self._leaving.names(now)
--- a/papayaloom/process/http_front.py
+++ b/papayaloom/process/http_front.py
@@ -320,11 +320,24 @@
             timeout=math.ceil(limits.idle_s),
         )
         self.gateway = Gateway
+        self._waiting: dict[typing.Any, None] = {}
+        self.configure(limits)
+
+    def configure(self, limits: caller.Limits) -> None:
+        """Take new limits; the backlog stays, and threads only grow."""
         self.limits = limits
+        self.timeout = math.ceil(limits.idle_s)
         self.max_request_header_size = limits.header_bytes
         self.max_request_body_size = limits.body_bytes
         self.keep_alive_conn_limit = limits.idle
-        self._waiting: dict[typing.Any, None] = {}
+        missing = limits.threads - self.requests.min
+        if self.ready and missing > 0:
+            self.requests.grow(missing)
+            self.requests.min = limits.threads
+
+    def close_idle(self) -> None:
+        """Close each connection after its answer, for a planned stop."""
+        self.keep_alive_conn_limit = 0
 
     def process_conn(self, conn: typing.Any) -> None:
         """Give a connection to a worker when its first byte has arrived.
--- a/papayaloom/process/router.py
+++ b/papayaloom/process/router.py
@@ -164,6 +164,8 @@
             _log.info(step.progress)
         if step.announce:
             effects.sends.extend(decisions.members.leave(now))
+        if step.close_idle:
+            self._server.close_idle()
         if step.hand_over:
             effects.sends.extend(decisions.chats.handover())
         if step.stop:
@@ -270,6 +272,8 @@
         """Take a new version; called by the core, on the actor's thread."""
         self._codec.configure(_codec_cfg(self._file, settings))
         self._outbox.configure(configuration.outgoing(settings))
+        if self._core.drain.state is drain.State.SERVING:
+            self._server.configure(configuration.callers(settings))
         if settings.version:
             _log.info('settings: version in force', version=settings.version)
 
--- a/papayaloom/request/desk.py
+++ b/papayaloom/request/desk.py
@@ -72,6 +72,7 @@
     :param request: unique id of the request at the upstreams.
     :param fingerprint: equal for requests of equal organisation, target and
         body, however often they are sent.
+    :param priority: 0 to 9, a higher one goes first.
     :param deadline_s: seconds left until the caller's deadline.
     :param prompt_tokens: estimate of the prompt, text so far included.
     :param prefixes: hashes of :func:`papayaloom.request.prompt.prefixes`.
--- a/papayaloom/version/declarations/callers.py
+++ b/papayaloom/version/declarations/callers.py
@@ -71,14 +71,15 @@
         setting.Unit.COUNT,
         1024,
         65_536,
-        'Open connections of callers at one router.',
+        'Connections of callers without a request at one router.',
     ),
     _limit(
         'threads',
         setting.Unit.COUNT,
         256,
         4096,
-        'Requests that one router serves at the same time; read at its start.',
+        'Requests that one router serves at the same time; a lower number counts '
+        'from its next start on.',
     ),
     _limit(
         'backlog',
