--- a/papayaloom/process/loads.py
+++ b/papayaloom/process/loads.py
@@ -35,7 +35,7 @@
     report_expiry_s: float = 10
     period_s: float = 0.25
     finish_rate: float = 0.05
-    margin_deviations: float = 1
+    margin_deviations: float = 2
 
 
 class Subtotal(msgspec.Struct):
