--- a/Makefile
+++ b/Makefile
@@ -18,13 +18,13 @@
 	$(PY) -m behave $(BEHAVE_ARGS) --format progress
 
 demo: venv
-	$(PY) -m papayaloom.bench.demo --keep=$(or $(KEEP),0)
+	$(PY) -m papayaloom.bench.demo --keep=$(if $(KEEP),True,False)
 
 bench: venv
 	$(PY) -m papayaloom.bench $(ARGS)
 
 bench-report: venv
-	$(PY) -m papayaloom.bench.report
+	$(PY) -m papayaloom.bench.report $(ARGS)
 
 fuzz: venv
 	$(PY) -m features.machines.run --seconds=$(or $(SECONDS),600) --seed=$(or $(SEED),1)
--- a/papayaloom/messages.py
+++ b/papayaloom/messages.py
@@ -43,8 +43,13 @@
 class Member(msgspec.Struct, frozen=True, array_like=True):
     """One router of the fleet.
 
+    An update that only changes the state of a member leaves out address,
+    http, zone and region.
+
     :param address: pynng URL of the control inbox.
     :param http: base URL towards callers.
+    :param by: who suspects the member; the member itself when it says that
+        it has stopped.
     """
 
     router: ids.RouterId
@@ -54,6 +59,7 @@
     region: ids.RegionId
     incarnation: int = 0
     state: MemberState = MemberState.ALIVE
+    by: ids.RouterId = ids.RouterId('')
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -113,8 +119,6 @@
 
     :param target: the probed member; an indirect probe travels through another.
     :param origin: who wants the answer.
-    :param promise_s: seconds for which the sender will not admit to
-        engines where the receiver ranks before it.
     """
 
     nonce: int
@@ -122,7 +126,6 @@
     target: ids.RouterId
     updates: tuple[Member, ...]
     settings: Digest
-    promise_s: float = 0
 
 
 class Ack(Message, frozen=True, array_like=True):
@@ -133,7 +136,6 @@
     target: ids.RouterId
     updates: tuple[Member, ...]
     settings: Digest
-    promise_s: float = 0
 
 
 class PingRequest(Message, frozen=True, array_like=True):
@@ -145,6 +147,37 @@
     updates: tuple[Member, ...]
 
 
+class Gossip(Message, frozen=True, array_like=True):
+    """News about members that should not wait for the next probe."""
+
+    updates: tuple[Member, ...]
+    settings: Digest
+
+
+class ViewDigest(Message, frozen=True, array_like=True):
+    """Compares the membership views of two routers.
+
+    :param buckets: 32-bit hashes of the view, one for each bucket of names.
+    """
+
+    buckets: tuple[int, ...]
+
+
+class ViewPart(Message, frozen=True, array_like=True):
+    """Members of some buckets that differ.
+
+    :param members: what the sender knows of these buckets, the dead included.
+    :param buckets: the buckets that ``members`` covers completely.
+    :param differ: how many buckets differed in the comparison.
+    :param reply: the receiver should answer with its own members.
+    """
+
+    members: tuple[Member, ...]
+    buckets: tuple[int, ...]
+    differ: int
+    reply: bool
+
+
 class Leave(Message, frozen=True, array_like=True):
     """The sender is stopping; it still finishes its requests."""
 
@@ -159,17 +192,32 @@
 
 
 class SettingsRequest(Message, frozen=True, array_like=True):
-    """Asks for the settings changes after a version."""
+    """Asks for the settings changes after a version.
+
+    :param have: head of the sender; without a digest it asks for the full
+        state.
+    """
 
     have: Digest
 
 
 class SettingsDelta(Message, frozen=True, array_like=True):
-    """Consecutive settings changes, oldest first, as encoded records."""
+    """Consecutive settings changes, oldest first, as encoded records.
+
+    Without changes it says that the receiver is as new as the sender.
+    """
 
     changes: tuple[bytes, ...]
 
 
+class SettingsFetch(Message, frozen=True, array_like=True):
+    """Asks for some chunks of a full state."""
+
+    version: ids.SettingsVersion
+    digest: str
+    chunks: tuple[int, ...]
+
+
 class SettingsChunk(Message, frozen=True, array_like=True):
     """Part of a compressed full state."""
 
@@ -368,13 +416,35 @@
     sequence: int
 
 
+class FleetView(Message, frozen=True, array_like=True):
+    """The membership view that a router publishes to the locator on its host.
+
+    :param members: all members that may serve callers, leaving ones included.
+    :param sequence: grows with every change within one boot of the router.
+    :param ttl_s: how long callers may keep an address answer.
+    :param count: how many addresses an answer holds.
+    """
+
+    deployment: str
+    router: ids.RouterId
+    boot: int
+    sequence: int
+    members: tuple[Member, ...]
+    ttl_s: float
+    count: int
+
+
 Control = (
     Ping
     | Ack
     | PingRequest
+    | Gossip
+    | ViewDigest
+    | ViewPart
     | Leave
     | LoadReport
     | SettingsRequest
+    | SettingsFetch
     | SettingsDelta
     | SettingsChunk
     | Ask
--- a/papayaloom/process/placement.py
+++ b/papayaloom/process/placement.py
@@ -150,6 +150,11 @@
         self._lifetime = Lifetime(cfg.cache_s)
         self._failed: dict[ids.EngineId, float] = {}
 
+    @property
+    def cfg(self) -> Cfg:
+        """Return the weights in force."""
+        return self._cfg
+
     def configure(self, cfg: Cfg) -> None:
         """Take new weights."""
         self._cfg = cfg
