--- a/features/streams.feature
+++ b/features/streams.feature
@@ -21,6 +21,7 @@
     Given an engine that sends events of another request in between
     When a caller asks for a stream
     Then the caller gets every token once, and the end mark
+    And the explanation says "Events not delivered: 7 wrong id."
 
   Scenario: A stream that stops without its end mark is not finished
     Given an engine that ends its stream properly but without the end mark
@@ -91,6 +92,7 @@
     Given an engine that works
     When the desk fails with a timeout while a caller asks for a stream
     Then the caller gets an internal error with the verdict "may have run"
+    And no request is left open
 
   Scenario Outline: A malformed request is refused and harms no other request
     Given an engine that works
