--- a/papayaloom/process/orderer.py
+++ b/papayaloom/process/orderer.py
@@ -31,6 +31,9 @@
 _TICK_S = 0.25
 _HOSTS_S = 2
 _SETTINGS_S = 2
+# Reads of the settings by a process that does not hold the lease, as a
+# multiple; a takeover waits longer than that.
+_IDLE_ROUNDS = 5
 _ENGINE_THREADS = 16
 _STATUS_THREADS = 4
 _Step = typing.Callable[[orders.Orders, float], typing.Any]
@@ -92,6 +95,7 @@
         self._engines = engine_http.HttpEngines()
         self._urls: dict[ids.EngineId, str] = {}
         self._etag = ''
+        self._round = 0
         self._snapshot: snapshot.Snapshot | None = None
         self._pool = concurrent.futures.ThreadPoolExecutor(_ENGINE_THREADS)
         self._calls = store_io.StoreCalls(self._store, self._stored)
@@ -218,6 +222,10 @@
         self.actor.tell(lambda owned, now: owned.update_engines(names))
 
     def _read_settings(self) -> None:
+        self._round += 1
+        fencing = self.dump().lease.fencing
+        if self._snapshot and not fencing and self._round % _IDLE_ROUNDS:
+            return
         try:
             read = log.read(self._store, self._snapshot).snapshot
         except errors.PapayaloomError as exc:
--- a/papayaloom/process/orders_lease.py
+++ b/papayaloom/process/orders_lease.py
@@ -58,6 +58,8 @@
     """Where this process stands with the lease."""
 
     IDLE = 'idle'
+    LOOKING = 'looking'
+    FREE = 'free'
     GRANTING = 'granting'
     ACQUIRING = 'acquiring'
     READING = 'reading back'
@@ -142,6 +144,10 @@
                     operation, KEY, self._value, 0, self._lease
                 )
             ]
+        if self.state is State.IDLE:
+            # A read tells most processes that another one holds the lease.
+            self.state = State.LOOKING
+            return [store_calls.Read(operation, KEY)]
         self.state = State.GRANTING
         # The end of the term counts from here until the first renewal.
         self._until = now + self._cfg.lease_s
@@ -152,7 +158,9 @@
         if stored.operation != self._operation:
             return
         self._operation = 0
-        if self.state is State.GRANTING:
+        if self.state is State.LOOKING:
+            self._looked(stored, now)
+        elif self.state is State.GRANTING:
             self._granted(stored, now)
         elif self.state is State.HELD:
             self._kept(stored, now)
@@ -174,6 +182,13 @@
         # An acquisition that comes into effect late has another lease.
         return f'{self._me} {self._lease}'.encode()
 
+    def _looked(self, stored: store_calls.Stored, now: float) -> None:
+        self.lose(now)
+        if isinstance(stored, store_calls.Entry):
+            is_free = stored.content is None
+            self.state = State.FREE if is_free else State.IDLE
+            self._due = now if is_free else now + self._cfg.lease_s
+
     def _granted(self, stored: store_calls.Stored, now: float) -> None:
         if isinstance(stored, store_calls.Leased):
             self._lease = stored.lease
