Derive the renewal of grants from the hold time

Cause: docs/CAPACITY.md's calculation gives 88 running requests a daemon at the planned size; a renewal of each every 2 s costs 88 / 2 x 105 bytes = 4.6 KB/s of the 6 KB/s for control. Change: grants are renewed four times in placement.hold_s, so that a settings edit of the hold time lowers the traffic: 2.5 s at the default of 10 s, 7.5 s at 30 s. Result: features/core.feature 17 passed; computed 1.2 KB/s at 30 s. Conclusion: the traffic of renewals is a setting now.

--- a/papayaloom/process/chats.py
+++ b/papayaloom/process/chats.py
@@ -22,7 +22,8 @@
 from papayaloom.request import desk
 from papayaloom.version import snapshot
 
-_HOLD_RENEW_S = 2
+# Renewals within a hold time, so that one lost message ends no grant.
+_HOLD_RENEWALS = 4
 _Sends = list[messages.Send]
 _NOWHERE = ids.EngineId('')
 # About 3 KB, so that a hand-over does not delay more urgent messages.
@@ -73,7 +74,7 @@
     ) -> None:
         """Start without models."""
         self.models: dict[ids.ModelId, targets.ModelParts] = {}
-        self.running = running.Running(_HOLD_RENEW_S)
+        self.running = running.Running(_renew_s(settings))
         self.suspects = suspects.Suspects(configuration.crashes(settings))
         self.shares = shares.Shares(configuration.rates(settings), me)
         self._me = me
@@ -106,6 +107,7 @@
     def configure(self, settings: snapshot.Snapshot) -> None:
         """Take the settings of a new version."""
         self._settings = settings
+        self.running.renew_s = _renew_s(settings)
         crashes = configuration.crashes(settings)
         self.suspects.quarantine.configure(crashes)
         self.shares.configure(configuration.rates(settings))
@@ -475,6 +477,12 @@
         return standing is not ejection.Standing.EJECTED
 
 
+def _renew_s(settings: snapshot.Snapshot) -> float:
+    """Return the seconds between two renewals of the grants in use."""
+    held = typing.cast(float, settings.resolve('placement.hold_s').value)
+    return held / _HOLD_RENEWALS
+
+
 def hints_for(
     models: typing.Iterable[targets.ModelParts],
     joined: typing.Collection[ids.RouterId],
