Report the load of a small fleet when requests end, and not on every tick

Change: process/load_gossip.py makes reports only for a round, and pushes the own load in a fleet of up to 12 routers when requests have ended.

--- a/features/core.feature
+++ b/features/core.feature
@@ -100,3 +100,9 @@
     When an edit sets placement.most_running to 1 for the model
     And a chat runs to its end through router-0
     Then the engine had one request
+
+  Scenario: A small fleet learns at once that a request has ended
+    Reports were counted as sent on every tick, so an ended request reached
+    the other owners a round later, when their caps were already too high.
+    When a chat that runs ends at a moment without a round of reports
+    Then every other router knows the lower load within 0.2 seconds
--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -445,3 +445,33 @@
 @behave.then('the engine had one request')
 def had_one(context):
     assert [engine for _, engine in context.fleet.sent_to] == [context.engine]
+
+
+def known_load(node):
+    return node.core.chats.models['basking'].owner.loads.estimate(0).known
+
+
+@behave.when('a chat that runs ends at a moment without a round of reports')
+def ends_between_rounds(context):
+    ticket = context.fleet.admit('router-0')
+    context.fleet.run(2)
+    grant = granted(context, 'router-0', ticket)
+    context.owner = context.fleet.nodes['router-0'].core.chats.owners_of(
+        grant.engine
+    )[0]
+    for node in context.fleet.nodes.values():
+        node.core._loads._due = float('inf')
+    context.others = [
+        node
+        for node in context.fleet.nodes.values()
+        if node.name != context.owner
+    ]
+    assert [known_load(node) for node in context.others] == [1, 1]
+    context.fleet.release('router-0', grant)
+
+
+@behave.then('every other router knows the lower load within 0.2 seconds')
+def load_known(context):
+    # Messages of the harness arrive at steps of 0.05 s, and there are three.
+    context.fleet.run(0.2)
+    assert [known_load(node) for node in context.others] == [0, 0]
--- a/papayaloom/process/core.py
+++ b/papayaloom/process/core.py
@@ -93,7 +93,7 @@
             configuration.ledgers(settings), me.router, rng
         )
         self.drain = drain.Drain(configuration.stop(settings))
-        self._loads = load_gossip.LoadGossip(load_gossip.Cfg(), rng)
+        self._loads = load_gossip.LoadGossip(load_gossip.Cfg(), me.router, rng)
         self._region = me.region
         self._listed: frozenset[ids.RouterId] | None = None
         self._hosts = hosts.HostList(())
@@ -134,11 +134,9 @@
         effects.sends.extend(self.members.tick(now))
         effects.sends.extend(self.settings.tick(now))
         effects.sends.extend(self._update_members(now))
-        reports = [
-            _report(parts, self.me, now) for parts in self.chats.models.values()
-        ]
-        peers = [one for one in self._routers if one != self.me]
-        effects.sends.extend(self._loads.tick(reports, peers, now))
+        effects.sends.extend(
+            self._loads.tick(self.chats.models.values(), self._routers, now),
+        )
         return self._settled(effects, now)
 
     def host_list(
@@ -403,17 +401,6 @@
         return sends + self._update_upstreams(now).sends
 
 
-def _report(
-    parts: targets.ModelParts,
-    me: ids.RouterId,
-    now: float,
-) -> messages.LoadReport:
-    """Return the load report of a model, and note it at the own home side."""
-    report = parts.owner.report(now)
-    parts.home.handle(me, report, now)
-    return report
-
-
 def _member(host: hosts.Host) -> messages.Member:
     leaving = host.state is hosts.HostState.LEAVING
     return messages.Member(
--- a/papayaloom/process/load_gossip.py
+++ b/papayaloom/process/load_gossip.py
@@ -6,10 +6,12 @@
 import msgspec
 
 from papayaloom import ids, messages
+from papayaloom.process import targets
 
 # Bytes of one load on the wire, names of ten characters included.
 _LOAD_BYTES = 40
 _ENVELOPE_BYTES = 100
+_Sends = list[messages.Send]
 
 
 class Cfg(msgspec.Struct, frozen=True):
@@ -19,48 +21,67 @@
     :param fanout: routers that each round goes to.
     :param bytes_per_second: share of the byte budget for reports.
     :param loads: most loads in one report; own ones go first.
+    :param push_members: most members that are told at once when requests
+        have ended; above that the byte budget does not allow it.
     """
 
     period_s: float = 0.25
     fanout: int = 2
     bytes_per_second: float = 2000
     loads: int = 40
+    push_members: int = 12
 
 
 class LoadGossip:
-    """Rounds of load reports of one router."""
+    """Load reports of one router.
 
-    def __init__(self, cfg: Cfg, rng: random.Random) -> None:
+    :param me: own identity.
+    """
+
+    def __init__(self, cfg: Cfg, me: ids.RouterId, rng: random.Random) -> None:
         """Start with a round at once."""
         self._cfg = cfg
+        self._me = me
         self._rng = rng
         self._due = float('-inf')
 
     def tick(
         self,
-        reports: typing.Iterable[messages.LoadReport],
-        peers: typing.Sequence[ids.RouterId],
+        models: typing.Iterable[targets.ModelParts],
+        routers: typing.Collection[ids.RouterId],
         now: float,
-    ) -> list[messages.Send]:
-        """Return the reports of a round that is due.
+    ) -> _Sends:
+        """Return the reports of a round that is due, or of ended requests.
 
-        :param reports: one for each model, own load first.
-        :param peers: routers of the region that are alive, without this one.
+        :param routers: routers of the region that are alive.
         """
-        if now < self._due or not peers:
+        peers = [router for router in routers if router != self._me]
+        if not peers:
+            return []
+        if now >= self._due:
+            return self._round(models, peers, now)
+        if len(routers) > self._cfg.push_members:
             return []
-        sends = []
+        return _push(models, peers, now)
+
+    def _round(
+        self,
+        models: typing.Iterable[targets.ModelParts],
+        peers: list[ids.RouterId],
+        now: float,
+    ) -> _Sends:
+        sends: _Sends = []
         size = 0
-        for report in reports:
+        for parts in models:
+            report = parts.owner.report(now)
+            parts.home.handle(self._me, report, now)
             trimmed = messages.LoadReport(
                 self._trim(report.loads), report.covered
             )
             count = min(self._cfg.fanout, len(peers))
-            for peer in self._rng.sample(list(peers), count):
+            for peer in self._rng.sample(peers, count):
                 size += _ENVELOPE_BYTES + _LOAD_BYTES * len(trimmed.loads)
-                sends.append(
-                    messages.Send(peer, trimmed, messages.Priority.LOAD),
-                )
+                sends.append(_send(peer, trimmed))
         wait_s = size / self._cfg.bytes_per_second
         self._due = now + max(self._cfg.period_s, wait_s)
         return sends
@@ -74,3 +95,25 @@
             return loads
         others = self._rng.sample(loads[1:], self._cfg.loads - 1)
         return (loads[0], *others)
+
+
+def _push(
+    models: typing.Iterable[targets.ModelParts],
+    peers: list[ids.RouterId],
+    now: float,
+) -> _Sends:
+    """Tell all members of a small fleet that requests have ended.
+
+    With few running requests each one that ends lowers the mean, and with it
+    the cap of all owners; a round would tell them too late.
+    """
+    sends: _Sends = []
+    for parts in models:
+        if parts.owner.loads.untold(parts.owner.holds.finished):
+            own = messages.LoadReport(parts.owner.report(now).loads[:1])
+            sends.extend(_send(peer, own) for peer in peers)
+    return sends
+
+
+def _send(peer: ids.RouterId, report: messages.LoadReport) -> messages.Send:
+    return messages.Send(peer, report, messages.Priority.LOAD)
