--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -447,8 +447,13 @@
     assert [engine for _, engine in context.fleet.sent_to] == [context.engine]
 
 
-def known_load(node):
-    return node.core.chats.models['basking'].owner.loads.estimate(0).known
+def known_loads(context):
+    return [
+        node.core.chats.models['basking']
+        .owner.loads.estimate(context.fleet.now)
+        .known
+        for node in context.others
+    ]
 
 
 @behave.when('a chat that runs ends at a moment without a round of reports')
@@ -466,7 +471,7 @@
         for node in context.fleet.nodes.values()
         if node.name != context.owner
     ]
-    assert [known_load(node) for node in context.others] == [1, 1]
+    assert known_loads(context) == [1, 1]
     context.fleet.release('router-0', grant)
 
 
@@ -474,4 +479,4 @@
 def load_known(context):
     # Messages of the harness arrive at steps of 0.05 s, and there are three.
     context.fleet.run(0.2)
-    assert [known_load(node) for node in context.others] == [0, 0]
+    assert known_loads(context) == [0, 0], known_loads(context)
