Tick ten times a second and read cache events less often

Cause: an idle router among 6 routers and 6 engines used 2.4% of a core over 20 s (/proc/PID/stat), against 1.2% for control; by thread: actor 0.85%, engine reads 0.4%, timers 0.2%, inbox 0.15%. Change: the core ticks every 0.1 s, as its parts state, instead of 0.05 s; cache events are read by the first in rank only and in one round of four.

--- a/features/machines/fleet.py
+++ b/features/machines/fleet.py
@@ -222,7 +222,8 @@
     def _read_engines(self, node):
         if round(self.now / TICK_S) % 20:
             return
-        for name, _ in node.core.chats.ranked_engines():
+        for known in node.core.chats.ranked_engines():
+            name = known.engine
             state = engine.State(
                 name, 'basking', 'v1', running=self.running.get(name, 0)
             )
--- a/papayaloom/bench/fault_world.py
+++ b/papayaloom/bench/fault_world.py
@@ -194,7 +194,8 @@
         part = self.cores[name]
         self._carry_out(name, part.tick(self.now, self.clock.unix_ms()))
         if round(self.now / TICK_S) % 20 == 0:
-            for served, _ in part.chats.ranked_engines():
+            for known in part.chats.ranked_engines():
+                served = known.engine
                 state = engine.State(
                     served,
                     ids.ModelId('basking'),
--- a/papayaloom/process/chats.py
+++ b/papayaloom/process/chats.py
@@ -47,6 +47,14 @@
     engine: ids.EngineId
 
 
+class Ranked(msgspec.Struct, frozen=True):
+    """An engine for which this router is first or second in rank."""
+
+    engine: ids.EngineId
+    url: str
+    is_first: bool
+
+
 class Dump(msgspec.Struct, frozen=True):
     """State of the chats for the dump."""
 
@@ -271,7 +279,7 @@
         self,
         engine: ids.EngineId,
         state: engine_port.State,
-        events: engine_port.CacheEvents,
+        events: engine_port.CacheEvents | None,
         taken: float,
         now: float,
     ) -> None:
@@ -282,7 +290,8 @@
         parts = self._by_engine.get(engine)
         if parts is not None:
             parts.owner.engine_report(engine, state.running, taken, now)
-            parts.cache_events(engine, events.events, now)
+            if events is not None:
+                parts.cache_events(engine, events.events, now)
 
     def home_of(self, chat: ids.ChatId) -> ids.RouterId | None:
         """Return the home router of a chat."""
@@ -307,17 +316,18 @@
             ),
         )
 
-    def ranked_engines(self) -> list[tuple[ids.EngineId, str]]:
-        """Return the engines that this router reads, with their URLs.
+    def ranked_engines(self) -> list[Ranked]:
+        """Return the engines that this router reads.
 
         The second in rank reads them too, since it may have to admit.
         """
-        return [
-            (engine, upstream.url)
-            for parts in self.models.values()
-            for engine, upstream in parts.engines.items()
-            if self._me in parts.owner.ranks.order(engine)
-        ]
+        found = []
+        for engine, parts in self._by_engine.items():
+            order = parts.owner.ranks.order(engine)
+            if self._me in order:
+                first = order[0] == self._me
+                found.append(Ranked(engine, self.url_of(engine), first))
+        return found
 
     def url_of(self, engine: ids.EngineId) -> str:
         """Return the base URL of an engine, empty when unknown."""
--- a/papayaloom/process/core.py
+++ b/papayaloom/process/core.py
@@ -213,12 +213,13 @@
         self,
         engine: ids.EngineId,
         state: engine_port.State,
-        events: engine_port.CacheEvents,
+        events: engine_port.CacheEvents | None,
         taken: float,
         now: float,
     ) -> admitting.Effects:
         """Take an engine's own report.
 
+        :param events: nothing when only the state was read.
         :param taken: when the engine was asked.
         """
         self.chats.engine_read(engine, state, events, taken, now)
--- a/papayaloom/process/polling.py
+++ b/papayaloom/process/polling.py
@@ -5,6 +5,7 @@
 """
 
 import concurrent.futures
+import itertools
 import threading
 import typing
 
@@ -13,12 +14,22 @@
 
 from papayaloom import clock, errors, ids
 from papayaloom.ports import engine, hosts, kv
-from papayaloom.process import actors, admitting, core, current, dissemination
+from papayaloom.process import (
+    actors,
+    admitting,
+    chats,
+    core,
+    current,
+    dissemination,
+)
 from papayaloom.version import change, log, snapshot
 
 _log = structlog.get_logger('polling')
 _HOSTS_PERIOD_S = 2.0
 _ENGINES_PERIOD_S = 1.0
+# Cache events only correct what the owner expects from its own grants, so
+# they are read in one round of this many, and by the first in rank alone.
+_EVENT_ROUNDS = 4
 _ENGINE_READERS = 4
 _SETTINGS_PERIOD_S = 1.0
 # A waiting watch counts as a call of the store; a longer wait costs less and
@@ -90,37 +101,50 @@
     pool = concurrent.futures.ThreadPoolExecutor(_ENGINE_READERS)
     sequences: dict[ids.EngineId, tuple[str, int]] = {}
 
-    def read_one(name: ids.EngineId, url: str) -> None:
-        taken = source.monotonic()
-        try:
-            state = port.state(url)
-        except errors.PapayaloomError:
-            return
-        boot, after = sequences.get(name, ('', 0))
+    rounds = itertools.count()
+
+    def read_events(
+        known: chats.Ranked,
+        state: engine.State,
+    ) -> engine.CacheEvents | None:
+        boot, after = sequences.get(known.engine, ('', 0))
         if boot != state.boot:
             after = 0
         try:
-            events = port.events(url, after)
+            events = port.events(known.url, after)
         except errors.PapayaloomError:
-            events = engine.CacheEvents((), after)
-        sequences[name] = (state.boot, events.last)
+            return None
+        sequences[known.engine] = (state.boot, events.last)
+        return events
+
+    def read_one(known: chats.Ranked, with_events: bool) -> None:
+        taken = source.monotonic()
+        try:
+            state = port.state(known.url)
+        except errors.PapayaloomError:
+            return
+        events = read_events(known, state) if with_events else None
         _tell(
             actor,
             lambda decisions, now: decisions.engine_read(
-                name, state, events, taken, now
+                known.engine, state, events, taken, now
             ),
         )
 
     def read() -> float:
-        ranked: list[tuple[ids.EngineId, str]] = typing.cast(
-            list[tuple[ids.EngineId, str]],
+        ranked: list[chats.Ranked] = typing.cast(
+            list[chats.Ranked],
             actor.ask(
                 actors.Query(
                     lambda decisions, _: decisions.chats.ranked_engines(),
                 ),
             ),
         )
-        futures = [pool.submit(read_one, name, url) for name, url in ranked]
+        is_due = next(rounds) % _EVENT_ROUNDS == 0
+        futures = [
+            pool.submit(read_one, known, is_due and known.is_first)
+            for known in ranked
+        ]
         concurrent.futures.wait(futures)
         return _ENGINES_PERIOD_S
 
--- a/papayaloom/process/router.py
+++ b/papayaloom/process/router.py
@@ -34,7 +34,7 @@
 from papayaloom.version import snapshot
 
 _log = structlog.get_logger('router')
-_TICK_S = 0.05
+_TICK_S = 0.1
 _STOP_TICK_S = 0.25
 # A locator takes a longer silence for the death of its router.
 _VIEW_S = 1.0
