--- a/papayaloom/version/declarations/callers.py
+++ b/papayaloom/version/declarations/callers.py
@@ -2,90 +2,78 @@
 
 from papayaloom.version import setting
 
-
-def _limit(
-    name: str,
-    unit: setting.Unit,
-    default: int,
-    high: int,
-    doc: str,
-) -> setting.Setting:
-    is_time = unit is setting.Unit.SECONDS
-    return setting.Setting(
-        path=f'callers.{name}',
-        kind=setting.Kind.NUMBER if is_time else setting.Kind.INTEGER,
-        unit=unit,
-        default=float(default) if is_time else default,
-        low=1,
-        high=high,
-        axis=setting.Axis.FLEET,
-        doc=doc,
-    )
-
-
 SETTINGS = (
-    _limit(
-        'header_bytes',
+    setting.integer(
+        'callers.header_bytes',
         setting.Unit.BYTES,
         32_768,
-        1_048_576,
+        (1, 1_048_576),
+        setting.Axis.FLEET,
         'Longest request line and headers together.',
     ),
-    _limit(
-        'body_bytes',
+    setting.integer(
+        'callers.body_bytes',
         setting.Unit.BYTES,
         8_388_608,
-        1_073_741_824,
+        (1, 1_073_741_824),
+        setting.Axis.FLEET,
         'Longest body of a request.',
     ),
-    _limit(
-        'header_s',
+    setting.number(
+        'callers.header_s',
         setting.Unit.SECONDS,
-        10,
-        600,
+        10.0,
+        (1, 600),
+        setting.Axis.FLEET,
         'Time from the first byte of a request to its last header.',
     ),
-    _limit(
-        'body_s',
+    setting.number(
+        'callers.body_s',
         setting.Unit.SECONDS,
-        30,
-        3600,
+        30.0,
+        (1, 3600),
+        setting.Axis.FLEET,
         'Time for the whole body of a request.',
     ),
-    _limit(
-        'send_s',
+    setting.number(
+        'callers.send_s',
         setting.Unit.SECONDS,
-        10,
-        600,
+        10.0,
+        (1, 600),
+        setting.Axis.FLEET,
         'Time for one write to a caller that reads slowly.',
     ),
-    _limit(
-        'idle_s',
+    setting.number(
+        'callers.idle_s',
         setting.Unit.SECONDS,
-        60,
-        3600,
+        60.0,
+        (1, 3600),
+        setting.Axis.FLEET,
         'Time that a connection without a request stays open.',
     ),
-    _limit(
-        'connections',
+    setting.integer(
+        'callers.connections',
         setting.Unit.COUNT,
         1024,
-        65_536,
+        (1, 65_536),
+        setting.Axis.FLEET,
         'Connections of callers without a request at one router.',
     ),
-    _limit(
-        'threads',
+    setting.integer(
+        'callers.threads',
         setting.Unit.COUNT,
         256,
-        4096,
+        (1, 4096),
+        setting.Axis.FLEET,
         'Requests that one router serves at the same time; a lower number counts '
         'from its next start on.',
     ),
-    _limit(
-        'backlog',
+    setting.integer(
+        'callers.backlog',
         setting.Unit.COUNT,
         128,
-        4096,
+        (1, 4096),
+        setting.Axis.FLEET,
         'Connections that wait to be accepted; read at the start of a router.',
     ),
 )
--- a/papayaloom/version/declarations/model.py
+++ b/papayaloom/version/declarations/model.py
@@ -3,15 +3,13 @@
 from papayaloom.version import setting
 
 SETTINGS = (
-    setting.Setting(
-        path='model.replicas',
-        kind=setting.Kind.INTEGER,
-        unit=setting.Unit.COUNT,
-        default=0,
-        low=0,
-        high=100_000,
-        axis=setting.Axis.MODEL,
-        doc='Engines that serve the model; with 0 no engine gets orders.',
+    setting.integer(
+        'model.replicas',
+        setting.Unit.COUNT,
+        0,
+        (0, 100_000),
+        setting.Axis.MODEL,
+        'Engines that serve the model; with 0 no engine gets orders.',
     ),
     setting.Setting(
         path='model.version',
--- a/papayaloom/version/declarations/organisation.py
+++ b/papayaloom/version/declarations/organisation.py
@@ -17,17 +17,13 @@
             'organisation.'
         ),
     ),
-    setting.Setting(
-        path='organisation.priority_ceiling',
-        kind=setting.Kind.INTEGER,
-        unit=setting.Unit.NONE,
-        default=9,
-        low=0,
-        high=9,
-        axis=setting.Axis.ORGANISATION,
-        doc=(
-            'Highest X-Priority of the organisation; a request that asks for '
-            'more gets this one.'
-        ),
+    setting.integer(
+        'organisation.priority_ceiling',
+        setting.Unit.NONE,
+        9,
+        (0, 9),
+        setting.Axis.ORGANISATION,
+        'Highest X-Priority of the organisation; a request that asks for '
+        'more gets this one.',
     ),
 )
--- a/papayaloom/version/declarations/settings.py
+++ b/papayaloom/version/declarations/settings.py
@@ -3,15 +3,13 @@
 from papayaloom.version import setting
 
 SETTINGS = (
-    setting.Setting(
-        path='settings.kept_versions',
-        kind=setting.Kind.INTEGER,
-        unit=setting.Unit.COUNT,
-        default=4096,
+    setting.integer(
+        'settings.kept_versions',
+        setting.Unit.COUNT,
+        4096,
         # A reader pages through the log while editors trim it.
-        low=256,
-        high=100_000,
-        axis=setting.Axis.FLEET,
-        doc='Newest versions whose records the settings log keeps.',
+        (256, 100_000),
+        setting.Axis.FLEET,
+        'Newest versions whose records the settings log keeps.',
     ),
 )
--- a/papayaloom/version/declarations/stop.py
+++ b/papayaloom/version/declarations/stop.py
@@ -3,34 +3,28 @@
 from papayaloom.version import setting
 
 SETTINGS = (
-    setting.Setting(
-        path='stop.spread_s',
-        kind=setting.Kind.NUMBER,
-        unit=setting.Unit.SECONDS,
-        default=10,
-        low=1,
-        high=120,
-        axis=setting.Axis.FLEET,
-        doc='How long the leave mark takes to reach every locator.',
+    setting.number(
+        'stop.spread_s',
+        setting.Unit.SECONDS,
+        10,
+        (1, 120),
+        setting.Axis.FLEET,
+        'How long the leave mark takes to reach every locator.',
     ),
-    setting.Setting(
-        path='stop.longest_s',
-        kind=setting.Kind.NUMBER,
-        unit=setting.Unit.SECONDS,
-        default=600,
-        low=10,
-        high=7200,
-        axis=setting.Axis.FLEET,
-        doc='Longest stop; requests that still run then are cut off.',
+    setting.number(
+        'stop.longest_s',
+        setting.Unit.SECONDS,
+        600,
+        (10, 7200),
+        setting.Axis.FLEET,
+        'Longest stop; requests that still run then are cut off.',
     ),
-    setting.Setting(
-        path='stop.hand_over_s',
-        kind=setting.Kind.NUMBER,
-        unit=setting.Unit.SECONDS,
-        default=5,
-        low=1,
-        high=60,
-        axis=setting.Axis.FLEET,
-        doc='Longest time for the hand-over to the next router in rank.',
+    setting.number(
+        'stop.hand_over_s',
+        setting.Unit.SECONDS,
+        5,
+        (1, 60),
+        setting.Axis.FLEET,
+        'Longest time for the hand-over to the next router in rank.',
     ),
 )
--- a/papayaloom/version/setting.py
+++ b/papayaloom/version/setting.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import functools
 
 import msgspec
 
@@ -70,3 +71,21 @@
     low: float | None = None
     high: float | None = None
     choices: tuple[str, ...] = ()
+
+
+def _bounded(
+    kind: Kind,
+    path: str,
+    unit: Unit,
+    default: float,
+    bounds: tuple[float, float],
+    axis: Axis,
+    doc: str,
+) -> Setting:
+    """Declare a setting with a lowest and a highest number, both inclusive."""
+    low, high = bounds
+    return Setting(path, kind, unit, default, axis, doc, low, high)
+
+
+integer = functools.partial(_bounded, Kind.INTEGER)
+number = functools.partial(_bounded, Kind.NUMBER)
