--- a/features/machines/admission.py
+++ b/features/machines/admission.py
@@ -8,9 +8,9 @@
 
 import random
 
-import hypothesis
 from hypothesis import stateful, strategies
 
+from features.machines import deterministic
 from papayaloom import ids, messages
 from papayaloom.process import admission, promises, rights, running
 
@@ -345,15 +345,4 @@
 
     The first failure is enough, so it is not shrunk.
     """
-    stateful.run_state_machine_as_test(
-        Admission,
-        settings=hypothesis.settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=steps,
-            phases=(hypothesis.Phase.generate,),
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
-    )
+    deterministic.run_fixed(Admission, examples, steps)
--- a/features/machines/deterministic.py
+++ b/features/machines/deterministic.py
@@ -14,27 +14,40 @@
 from hypothesis.internal.conjecture import providers
 
 
-def run(machine, steps, examples, fault=None, seed=0):
-    """Run a machine; raises AssertionError when a property is broken.
+def run_fixed(machine, examples, steps, seed=0, **options):
+    """Run a machine with fixed settings; raises what it finds.
 
-    :param fault: returns a context that puts a deliberate fault in place.
-    :param seed: 0 for the runs that the tests use.
+    Failures are not shrunk unless ``phases`` is given, because shrinking takes
+    long and the first finding is the verdict.
+
+    :param seed: another number than 0 gives other runs.
+    :param options: further settings of hypothesis.
     """
+    fixed = {'phases': (hypothesis.Phase.generate,), **options}
     chosen = hypothesis.settings(
         derandomize=True,
         database=None,
         deadline=None,
         max_examples=examples,
         stateful_step_count=steps,
-        phases=(hypothesis.Phase.generate,),
         suppress_health_check=list(hypothesis.HealthCheck),
+        **fixed,
     )
+    seeded = hypothesis.seed(seed)(machine) if seed else machine
+    stateful.run_state_machine_as_test(seeded, settings=chosen)
+
+
+def run(machine, steps, examples, fault=None, seed=0):
+    """Run a machine; raises AssertionError when a property is broken.
+
+    :param fault: returns a context that puts a deliberate fault in place.
+    :param seed: 0 for the runs that the tests use.
+    """
     constants = mock.patch.object(
         providers, '_get_local_constants', constants_ast.Constants
     )
-    seeded = hypothesis.seed(seed)(machine) if seed else machine
     with constants, fault() if fault else contextlib.nullcontext():
-        stateful.run_state_machine_as_test(seeded, settings=chosen)
+        run_fixed(machine, examples, steps, seed)
 
 
 def finds(machine, steps, examples, fault):
--- a/features/machines/distribution_machine.py
+++ b/features/machines/distribution_machine.py
@@ -8,10 +8,10 @@
 import random
 import unittest.mock
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from features.machines import deterministic
 from papayaloom import errors, messages
 from papayaloom.bench import fleet_net
 from papayaloom.process import current, dissemination
@@ -169,17 +169,10 @@
     if fault:
         patch = unittest.mock.patch.object(current.Current, *FAULTS[fault])
     with patch:
-        stateful.run_state_machine_as_test(
+        deterministic.run_fixed(
             Machine,
-            settings=hypothesis.settings(
-                derandomize=True,
-                database=None,
-                max_examples=examples,
-                stateful_step_count=steps,
-                deadline=None,
-                suppress_health_check=list(hypothesis.HealthCheck),
-                print_blob=False,
-                report_multiple_bugs=False,
-                phases=[hypothesis.Phase.generate],
-            ),
+            examples,
+            steps,
+            print_blob=False,
+            report_multiple_bugs=False,
         )
--- a/features/machines/membership_machine.py
+++ b/features/machines/membership_machine.py
@@ -7,11 +7,11 @@
 import contextlib
 import unittest.mock
 
-import hypothesis
 import msgspec
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from features.machines import deterministic
 from papayaloom import messages
 from papayaloom.bench import fleet_net
 from papayaloom.process import members, suspicion
@@ -150,17 +150,10 @@
     if fault:
         patch = unittest.mock.patch.object(*FAULTS[fault])
     with patch:
-        stateful.run_state_machine_as_test(
+        deterministic.run_fixed(
             Machine,
-            settings=hypothesis.settings(
-                derandomize=True,
-                database=None,
-                max_examples=examples,
-                stateful_step_count=steps,
-                deadline=None,
-                suppress_health_check=list(hypothesis.HealthCheck),
-                print_blob=False,
-                report_multiple_bugs=False,
-                phases=[hypothesis.Phase.generate],
-            ),
+            examples,
+            steps,
+            print_blob=False,
+            report_multiple_bugs=False,
         )
--- a/features/machines/settings_store.py
+++ b/features/machines/settings_store.py
@@ -8,12 +8,12 @@
 import functools
 import random
 
-import hypothesis
 import msgspec
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from features import settings_sample
+from features.machines import deterministic
 from papayaloom import clock, errors
 from papayaloom.standins import kv as twin
 from papayaloom.version import (
@@ -273,19 +273,6 @@
     :param seed: another number gives other runs.
     """
     machine = type('Run', (SettingsStore,), {'editor_class': editor_class})
-    if seed:
-        machine = hypothesis.seed(seed)(machine)
-    stateful.run_state_machine_as_test(
-        machine,
-        settings=hypothesis.settings(
-            derandomize=not seed,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=steps,
-            # Shrinking takes a minute and the first finding is the verdict.
-            phases=(hypothesis.Phase.generate,),
-            report_multiple_bugs=False,
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
+    deterministic.run_fixed(
+        machine, examples, steps, seed, report_multiple_bugs=False
     )
--- a/features/machines/stream_machine.py
+++ b/features/machines/stream_machine.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from features import fake_engine
+from features.machines import deterministic
 from papayaloom import errors, ids
 from papayaloom.connection import sse
 from papayaloom.request import attempts, chat, desk, prompt, splice
@@ -210,16 +211,11 @@
 
     :raises AssertionError: a property was broken.
     """
-    stateful.run_state_machine_as_test(
+    deterministic.run_fixed(
         machine,
-        settings=hypothesis.settings(
-            derandomize=True,
-            database=None,
-            max_examples=examples,
-            stateful_step_count=steps,
-            deadline=None,
-            suppress_health_check=list(hypothesis.HealthCheck),
-            print_blob=False,
-            report_multiple_bugs=False,
-        ),
+        examples,
+        steps,
+        phases=tuple(hypothesis.Phase),
+        print_blob=False,
+        report_multiple_bugs=False,
     )
