Construct the figures of the bench in one place

Change: bench/measurement.py has the Figure and a constructor that rounds; fleet, streaming, limits, lasting, placement and capacity use them. Conclusion: figures have one shape and one constructor.

--- a/papayaloom/bench/capacity.py
+++ b/papayaloom/bench/capacity.py
@@ -15,6 +15,7 @@
 import result
 
 from papayaloom import hashing, ids, messages
+from papayaloom.bench import measurement
 from papayaloom.connection import codec
 from papayaloom.ports import hosts
 from papayaloom.process import admitting, core, current
@@ -38,23 +39,16 @@
 
     def __init__(self, seed: int) -> None:
         self.seed = seed
-        self.found: list[dict[str, object]] = []
+        self.found: list[measurement.Figure] = []
 
     def add(self, name: str, value: float, unit: str, scenario: str) -> None:
         """Note a figure."""
         self.found.append(
-            {
-                'name': name,
-                'value': round(value, 4),
-                'unit': unit,
-                'seed': self.seed,
-                'scenario': scenario,
-                'policy': 'fleet',
-            },
+            measurement.entry(name, value, unit, self.seed, scenario, 'fleet'),
         )
 
 
-def run(*, smoke: bool, seed: int) -> typing.Iterator[dict[str, object]]:
+def run(*, smoke: bool, seed: int) -> typing.Iterator[measurement.Figure]:
     """Yield the figures.
 
     :param smoke: small sizes.
--- a/papayaloom/bench/fleet.py
+++ b/papayaloom/bench/fleet.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from papayaloom import hashing, ids
-from papayaloom.bench import fleet_net, fleet_stops, fleet_views
+from papayaloom.bench import fleet_net, fleet_stops, fleet_views, measurement
 
 POLICY = 'swim-full-view'
 # 5,400 changes a day.
@@ -22,17 +22,6 @@
 _FAR_SIZE = 3000
 
 
-class Figure(msgspec.Struct, frozen=True):
-    """One line of the bench's output."""
-
-    name: str
-    value: float
-    unit: str
-    seed: int
-    scenario: str
-    policy: str
-
-
 class Scale(msgspec.Struct, frozen=True):
     """How much to run.
 
@@ -55,7 +44,7 @@
 SMOKE = Scale(
     sizes=(6, 24), losses=(0.05,), quiet_s=12, crashes=1, hour_size=6, hour_s=60
 )
-_Figures = typing.Iterator[Figure]
+_Figures = typing.Iterator[measurement.Figure]
 
 
 def run(smoke: bool = False, seed: int = 1) -> _Figures:
@@ -73,7 +62,9 @@
         yield from moved(size, seed)
     yield from hour(scale.hour_size, scale.hour_s, seed)
     for name, value, unit, policy in fleet_stops.run(seed):
-        yield Figure(name, value, unit, seed, 'rolling restart, n=6', policy)
+        yield measurement.Figure(
+            name, value, unit, seed, 'rolling restart, n=6', policy
+        )
     yield from slopes(scale, seed)
 
 
@@ -304,8 +295,12 @@
 
 
 def _figures(scenario: str, seed: int) -> typing.Any:
-    def figure(name: str, value: float, unit: str, of: str = '') -> Figure:
+    def figure(
+        name: str, value: float, unit: str, of: str = ''
+    ) -> measurement.Figure:
         where = f'{scenario}, {of}' if of else scenario
-        return Figure(name, round(float(value), 6), unit, seed, where, POLICY)
+        return measurement.Figure(
+            name, round(float(value), 6), unit, seed, where, POLICY
+        )
 
     return figure
--- a/papayaloom/bench/lasting.py
+++ b/papayaloom/bench/lasting.py
@@ -14,6 +14,7 @@
 import uuid
 
 from papayaloom import clock, errors, ids, messages
+from papayaloom.bench import measurement
 from papayaloom.process import (
     ledger,
     ledger_record,
@@ -26,7 +27,6 @@
 )
 from papayaloom.standins import engine, kv, weights
 
-Figure = dict[str, typing.Any]
 _TICK_S = 0.05
 _MESSAGE_S = 0.0015
 _STORE_S = 0.004
@@ -205,7 +205,7 @@
         self._take(name, outputs)
 
 
-def run(*, smoke: bool, seed: int) -> typing.Iterator[Figure]:
+def run(*, smoke: bool, seed: int) -> typing.Iterator[measurement.Figure]:
     """Yield the figures of the ledger and of orders."""
     fleets = (6,) if smoke else (6, 96, 360)
     for routers in fleets:
@@ -217,22 +217,9 @@
         yield from _roll_out(engines, seed)
 
 
-def _figure(
-    name: str, value: float, unit: str, seed: int, scenario: str, policy: str
-) -> Figure:
-    return {
-        'name': name,
-        'value': round(value, 4),
-        'unit': unit,
-        'seed': seed,
-        'scenario': scenario,
-        'policy': policy,
-    }
-
-
 def _rates(
     routers: int, rate: int, seconds: float, seed: int
-) -> typing.Iterator[Figure]:
+) -> typing.Iterator[measurement.Figure]:
     fleet = _Fleet(routers, seed, loss=0.01)
     fleet.run(1)
     fleet.load(rate, seconds)
@@ -247,17 +234,19 @@
         ('ledger_claim_p99_s', waits[len(waits) * 99 // 100], 's'),
         ('ledger_doubled_effects', fleet.doubled(), 'keys'),
     ):
-        yield _figure(name, value, unit, seed, scenario, 'ledger')
+        yield measurement.entry(name, value, unit, seed, scenario, 'ledger')
     yield _baseline(rate, seconds, seed, scenario)
 
 
-def _baseline(rate: int, seconds: float, seed: int, scenario: str) -> Figure:
+def _baseline(
+    rate: int, seconds: float, seed: int, scenario: str
+) -> measurement.Figure:
     """Claim and outcome of each call in a record of its own."""
     store = kv.MemoryKv(clock.VirtualClock(), sleep=lambda seconds: None)
     for number in range(round(rate * seconds)):
         claim = store.put(f'claim/{number}', b'claimed', kv.kv.ABSENT)
         store.put(f'claim/{number}', _REPLY, claim.revision)
-    return _figure(
+    return measurement.entry(
         'ledger_writes_per_second',
         store.counts.writes / seconds,
         '1/s',
@@ -267,7 +256,7 @@
     )
 
 
-def _outage(seconds: float, seed: int) -> typing.Iterator[Figure]:
+def _outage(seconds: float, seed: int) -> typing.Iterator[measurement.Figure]:
     fleet = _Fleet(6, seed)
     fleet.load(20, 5)
     fleet.run(3)
@@ -279,7 +268,7 @@
     calls = fleet.kv.counts.reads + fleet.kv.counts.writes - before
     decided = fleet.refused - refused + fleet.granted - granted
     scenario = f'store down for {seconds} s, 20 calls/s, 6 routers'
-    yield _figure(
+    yield measurement.entry(
         'ledger_refused_share',
         (fleet.refused - refused) / decided,
         'share',
@@ -287,7 +276,7 @@
         scenario,
         'ledger',
     )
-    yield _figure(
+    yield measurement.entry(
         'ledger_calls_in_outage', calls / seconds, '1/s', seed, scenario, 'all'
     )
     fleet.kv.faults.outage = False
@@ -299,10 +288,12 @@
         fleet.refused - refused + fleet.granted - granted
     )
     after = 'from 2 s after the outage'
-    yield _figure('ledger_refused_share', late, 'share', seed, after, 'ledger')
+    yield measurement.entry(
+        'ledger_refused_share', late, 'share', seed, after, 'ledger'
+    )
 
 
-def _chaos(rounds: int, seed: int) -> typing.Iterator[Figure]:
+def _chaos(rounds: int, seed: int) -> typing.Iterator[measurement.Figure]:
     fleet = _Fleet(6, seed, loss=0.05)
     keys: collections.deque[str] = collections.deque(maxlen=20)
     calls = 0
@@ -327,7 +318,7 @@
         ('chaos_denied', fleet.denied),
         ('chaos_refused', fleet.refused),
     ):
-        yield _figure(title, value, 'calls', seed, scenario, 'ledger')
+        yield measurement.entry(title, value, 'calls', seed, scenario, 'ledger')
 
 
 class Engines:
@@ -408,7 +399,7 @@
             self.orders.stored(store_io.carry_out(self.kv, output), now)
 
 
-def _roll_out(count: int, seed: int) -> typing.Iterator[Figure]:
+def _roll_out(count: int, seed: int) -> typing.Iterator[measurement.Figure]:
     world = Engines(count)
     world.want(1)
     for _ in range(60):
@@ -433,4 +424,4 @@
         ('lowest_serving_share', world.fewest / count, 'share', 'paced'),
         ('loads_per_engine', sum(loads) / count, 'loads', 'paced'),
     ):
-        yield _figure(name, value, unit, seed, scenario, policy)
+        yield measurement.entry(name, value, unit, seed, scenario, policy)
--- a/papayaloom/bench/limits.py
+++ b/papayaloom/bench/limits.py
@@ -2,6 +2,7 @@
 one placement, in virtual time."""
 
 import collections
+import functools
 import heapq
 import random
 import time
@@ -10,6 +11,7 @@
 import msgspec
 
 from papayaloom import hashing, ids, messages
+from papayaloom.bench import measurement
 from papayaloom.process import (
     admission,
     budgets,
@@ -19,33 +21,17 @@
     quarantine,
 )
 
-Figure = dict[str, typing.Any]
 _DAY_S = 86400
 _ORG = ids.OrgId('org')
 
 
-def _figure(
-    name: str,
-    value: float,
-    unit: str,
-    seed: int,
-    scenario: str,
-    policy: str,
-) -> Figure:
-    return {
-        'name': name,
-        'value': round(value, 6),
-        'unit': unit,
-        'seed': seed,
-        'scenario': scenario,
-        'policy': policy,
-    }
+_figure = functools.partial(measurement.entry, digits=6)
 
 
 # --- retries and ejection -------------------------------------------------
 
 
-def retries(seed: int, policy: str, requests: int) -> list[Figure]:
+def retries(seed: int, policy: str, requests: int) -> list[measurement.Figure]:
     """Send requests while a third of the upstreams fail.
 
     :param policy: ``fleet``, ``no budget`` or ``no ejection``.
@@ -184,7 +170,7 @@
     return worst
 
 
-def rates(seed: int, policy: str, length_s: float) -> list[Figure]:
+def rates(seed: int, policy: str, length_s: float) -> list[measurement.Figure]:
     """Send five times an organisation's rate through a network partition.
 
     Two of six routers get most of the requests. From a third to two thirds of
@@ -352,7 +338,7 @@
     upstreams: int,
     length_s: float,
     crashes_per_day: float,
-) -> list[Figure]:
+) -> list[measurement.Figure]:
     """Let upstreams crash at random and a few requests crash them.
 
     Every crash is followed by the callers sending their requests again. One
@@ -454,7 +440,7 @@
     return sorted(batches)[len(batches) // 2] * 1e6
 
 
-def cost(seed: int) -> list[Figure]:
+def cost(seed: int) -> list[measurement.Figure]:
     """Return the cost of a placement at 5 and at 1,800 replicas.
 
     Each at its own fleet size. The ratio is of two runs of the same process.
@@ -480,7 +466,7 @@
     return found
 
 
-def run(smoke: bool, seed: int) -> typing.Iterator[Figure]:
+def run(smoke: bool, seed: int) -> typing.Iterator[measurement.Figure]:
     """Yield the figures.
 
     :param smoke: a short run.
--- a/papayaloom/bench/placement.py
+++ b/papayaloom/bench/placement.py
@@ -17,6 +17,7 @@
 import numpy as np
 
 from papayaloom import ids, messages
+from papayaloom.bench import measurement
 from papayaloom.bench import placement_policies as policies
 from papayaloom.bench import placement_world as worlds
 from papayaloom.process import admission, placement, prefixes
@@ -34,8 +35,6 @@
 )
 SMOKE = worlds.Size(engines=5, routers=6, warm_s=30, length_s=90)
 
-Figure = dict[str, typing.Any]
-
 
 class Plan(msgspec.Struct, frozen=True):
     """One run: a policy in a scenario."""
@@ -190,7 +189,9 @@
                 world.after(start + span * step / 31, falsely_dead, one, other)
 
 
-def figures(plan: Plan, bound: worlds.Stats | None = None) -> list[Figure]:
+def figures(
+    plan: Plan, bound: worlds.Stats | None = None
+) -> list[measurement.Figure]:
     """Run a policy and return its figures.
 
     :param bound: what the all-knowing policy reached on the same trace.
@@ -203,7 +204,7 @@
     plan: Plan,
     stats: worlds.Stats,
     bound: worlds.Stats | None,
-) -> list[Figure]:
+) -> list[measurement.Figure]:
     """Return the figures of a finished run."""
     reuse = _reuse(stats)
     arrived = max(1, stats.arrived)
@@ -228,14 +229,14 @@
         found.append(('quiet_cache_reuse', quiet, 'share'))
     size = f'{plan.size.engines} engines'
     return [
-        {
-            'name': name,
-            'value': round(value, 4),
-            'unit': unit,
-            'seed': plan.seed,
-            'scenario': f'{plan.scenario}, {size}, weight {plan.reuse_weight}',
-            'policy': plan.policy,
-        }
+        measurement.entry(
+            name,
+            value,
+            unit,
+            plan.seed,
+            f'{plan.scenario}, {size}, weight {plan.reuse_weight}',
+            plan.policy,
+        )
         for name, value, unit in found
     ]
 
@@ -248,7 +249,7 @@
     return sum(stats.reused.values()) / max(1, sum(stats.prompt.values()))
 
 
-def run(smoke: bool, seed: int) -> typing.Iterator[Figure]:
+def run(smoke: bool, seed: int) -> typing.Iterator[measurement.Figure]:
     """Yield the figures.
 
     :param smoke: a short run of two scenarios at the size of today.
@@ -268,7 +269,7 @@
     seed: int,
     names: tuple[str, ...] = COMPARED,
     reuse_weight: float = 0.6,
-) -> typing.Iterator[Figure]:
+) -> typing.Iterator[measurement.Figure]:
     """Yield the figures of all policies on one trace."""
     plan = Plan(size, scenario, 'all-knowing', seed, reuse_weight)
     bound = simulate(plan)
--- a/papayaloom/bench/streaming.py
+++ b/papayaloom/bench/streaming.py
@@ -17,6 +17,8 @@
 
 import msgspec
 
+from papayaloom.bench import measurement
+
 # Key that the router child accepts.
 KEY = 'bench'
 TOKEN_S = 0.069
@@ -25,17 +27,6 @@
 ANSWER_TOKENS = 383
 
 
-class Figure(msgspec.Struct, frozen=True):
-    """One line of the benchmark."""
-
-    name: str
-    value: float
-    unit: str
-    seed: int
-    scenario: str
-    policy: str
-
-
 class Child:
     """A server process."""
 
@@ -170,7 +161,9 @@
     return state[2] - 1
 
 
-def run(*, smoke: bool = False, seed: int = 1) -> typing.Iterator[Figure]:
+def run(
+    *, smoke: bool = False, seed: int = 1
+) -> typing.Iterator[measurement.Figure]:
     """Measure and yield the figures.
 
     :param smoke: few short streams.
@@ -183,7 +176,7 @@
 
 def measure(
     scenario: str, streams: int, count: int, seed: int
-) -> typing.Iterator[Figure]:
+) -> typing.Iterator[measurement.Figure]:
     """Measure streams with answers of ``count`` tokens.
 
     In the scenario ``steady`` each stream asks for two answers, and the
@@ -220,9 +213,11 @@
 
 def _figures(
     seen, answers: int, tokens: int, scenario: str, seed: int
-) -> typing.Iterator[Figure]:
+) -> typing.Iterator[measurement.Figure]:
     def figure(name: str, number: float, unit: str, policy: str = 'router'):
-        return Figure(name, round(number, 4), unit, seed, scenario, policy)
+        return measurement.Figure(
+            name, round(number, 4), unit, seed, scenario, policy
+        )
 
     plain, routed = seen['plain'], seen['routed']
     yield figure('unfinished_answers', answers - routed.finished, 'answers')
