--- a/papayaloom/commands/logs.py
+++ b/papayaloom/commands/logs.py
@@ -1,13 +1,19 @@
 """Log lines of the console scripts: JSON to standard error."""
 
+import faulthandler
 import logging
+import signal
 import sys
 
 import structlog
 
 
 def configure() -> None:
-    """Write one JSON object a line, with time, level and short sentence."""
+    """Write one JSON object a line, with time, level and short sentence.
+
+    SIGUSR1 prints the stacks of all threads, for a process that hangs.
+    """
+    faulthandler.register(signal.SIGUSR1)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
