Give the streaming bench every declared setting

Change: the bench's router gets the defaults of all declared settings. Conclusion: a new setting of the request path breaks no benchmark.

--- a/papayaloom/bench/streaming_child.py
+++ b/papayaloom/bench/streaming_child.py
@@ -23,7 +23,7 @@
 from papayaloom.ports import engine_http, service_http
 from papayaloom.process import arrivals, http_front, records, watch
 from papayaloom.standins import desk
-from papayaloom.version.declarations import requests
+from papayaloom.version import schema
 
 WORDS = ('the', 'basking', 'bulb', 'of', 'pen', 'seven', 'went', 'off')
 
@@ -66,8 +66,7 @@
     # The log lines are made, but standard output belongs to the bench.
     sink = open(os.devnull, 'w', encoding='utf-8')  # noqa: SIM115, WPS515
     structlog.configure(logger_factory=structlog.PrintLoggerFactory(sink))
-    values = {entry.path: entry.default for entry in requests.SETTINGS}
-    values['retry.budget_ratio'] = 0.1
+    values = {path: entry.default for path, entry in schema.load().items()}
     office = desk.Desk(
         desk.Settings(values),
         {'engine-0': engine},
