--- a/papayaloom/bench/report.py
+++ b/papayaloom/bench/report.py
@@ -30,7 +30,7 @@
     name: str
     value: float
     unit: str
-    seed: int
+    seed: int | str
     scenario: str
     policy: str
 
@@ -44,7 +44,7 @@
     policy: str
     before: float | None
     after: float | None
-    seed: int
+    seed: int | str
     change: str
     conclusion: str
 
@@ -225,8 +225,10 @@
         '# Measurements',
         '',
         'Written by `make bench-report`; do not edit. The figures come from',
-        f'`{_COMMAND}` and are kept in docs/figures.jsonl. Targets come from',
-        'the requirements; the fleet is measured beside its baselines.',
+        f'`{_COMMAND}`, or from one run of it with `--only` for each',
+        'benchmark, and are kept in docs/figures.jsonl. Targets come from the',
+        'requirements; the fleet is measured beside its baselines. Times',
+        'depend on what else the machine does.',
         '',
         *_summary(figures),
         *_plot_policies(figures),
