Split the search for an engine and the key-value server into own modules

Change: process/engine_search.py and standins/kv_server.py; moved text only. Conclusion: the tree names where a request's search is decided.

--- a/features/steps/kv_steps.py
+++ b/features/steps/kv_steps.py
@@ -8,6 +8,7 @@
 from papayaloom import clock, errors
 from papayaloom.ports import kv
 from papayaloom.standins import kv as twin
+from papayaloom.standins import kv_server
 
 
 @behave.given('a key-value store in {place}')
@@ -16,7 +17,7 @@
     context.twin = twin.MemoryKv(context.clock, sleep=context.clock.advance)
     context.kv = context.twin
     if place == 'HTTP':
-        server, _ = twin.server(store=context.twin)
+        server, _ = kv_server.server(store=context.twin)
         threading.Thread(target=server.serve, daemon=True).start()
         host, port = server.bind_addr[:2]
         context.kv = kv.HttpKv(f'http://{host}:{port}')
--- a/papayaloom/bench/limits.py
+++ b/papayaloom/bench/limits.py
@@ -16,6 +16,7 @@
     admission,
     budgets,
     ejection,
+    engine_search,
     limits,
     placement,
     quarantine,
@@ -424,7 +425,7 @@
             request = placement.Request(
                 ids.RequestId('r'), ids.OrgId('o'), chat, 1, now + 10, 2000
             )
-            search = placement.Search(
+            search = engine_search.Search(
                 placement.Cfg(),
                 request,
                 home.candidates(request, now),
--- a/papayaloom/bench/placement_policies.py
+++ b/papayaloom/bench/placement_policies.py
@@ -9,7 +9,13 @@
 
 from papayaloom import hashing, ids, messages
 from papayaloom.bench import placement_world as worlds
-from papayaloom.process import admission, placement, prefixes, running
+from papayaloom.process import (
+    admission,
+    engine_search,
+    placement,
+    prefixes,
+    running,
+)
 
 MODEL = ids.ModelId('model')
 ONE_WAY_S = 0.0015
@@ -208,7 +214,7 @@
             lambda request: self.holders.find(request.prefixes),
         )
         self.running = running.Running(1)
-        self.searches: dict[int, tuple[placement.Search, worlds.Job]] = {}
+        self.searches: dict[int, tuple[engine_search.Search, worlds.Job]] = {}
         self.paused = False
         self.inbox: list[tuple[ids.RouterId, messages.Message]] = []
         self.numbers = itertools.count(1)
@@ -509,7 +515,7 @@
             len(job.blocks) * worlds.BLOCK_TOKENS,
             job.blocks,
         )
-        search = placement.Search(
+        search = engine_search.Search(
             self._cfg.home,
             request,
             node.home.candidates(request, now),
@@ -520,13 +526,13 @@
     def _step(
         self,
         node: Node,
-        search: placement.Search,
+        search: engine_search.Search,
         job: worlds.Job,
-        step: placement.Step,
+        step: engine_search.Step,
     ) -> None:
-        if step.action == placement.Next.REFUSE:
+        if step.action == engine_search.Next.REFUSE:
             self.world.refuse(job)
-        elif step.action == placement.Next.LATER:
+        elif step.action == engine_search.Next.LATER:
             self.world.after(
                 step.retry_after_s,
                 self._again,
@@ -552,7 +558,7 @@
     def _again(
         self,
         node: Node,
-        search: placement.Search,
+        search: engine_search.Search,
         job: worlds.Job,
     ) -> None:
         self._step(node, search, job, search.again(self.world.now))
@@ -594,10 +600,10 @@
             return
         search, job = found
         step = search.answer(answer, now)
-        if step.action == placement.Next.WAIT:
+        if step.action == engine_search.Next.WAIT:
             return
         node.searches.pop(answer.ask)
-        if step.action != placement.Next.RUN:
+        if step.action != engine_search.Next.RUN:
             self._tries.pop((node.name, answer.ask), None)
             self._step(node, search, job, step)
             return
--- a/papayaloom/commands/standin.py
+++ b/papayaloom/commands/standin.py
@@ -19,7 +19,7 @@
 from papayaloom.standins import batch, engine, engine_server, service
 from papayaloom.standins import faults as fault_switches
 from papayaloom.standins import hosts as host_list
-from papayaloom.standins import kv as key_value
+from papayaloom.standins import kv_server
 from papayaloom.standins import weights as weight_store
 
 
@@ -179,7 +179,7 @@
     :param faults: fields of ``papayaloom.standins.kv.Faults``.
     """
     try:
-        bound, switches = key_value.server(address)
+        bound, switches = kv_server.server(address)
     except (OSError, ValueError) as exc:
         _fail(f'cannot listen: {exc}')
     for pair in filter(None, faults.split(',')):
--- a/papayaloom/process/admitting.py
+++ b/papayaloom/process/admitting.py
@@ -10,7 +10,7 @@
 import result
 
 from papayaloom import errors, ids, messages
-from papayaloom.process import claims, placement
+from papayaloom.process import claims, engine_search, placement
 from papayaloom.request import arrival, desk
 
 _BUSY = 503
@@ -89,7 +89,7 @@
     request: placement.Request
     home: placement.Home
     until: float
-    search: placement.Search | None = None
+    search: engine_search.Search | None = None
     current: messages.Ask | None = None
     reason: str = ''
     owner: ids.RouterId = ids.RouterId('')
@@ -195,10 +195,10 @@
             return effects
         pending.home.handle(sender, message, now)
         step = pending.search.answer(message, now)
-        if step.action == placement.Next.RUN:
+        if step.action == engine_search.Next.RUN:
             pending.home.reused(pending.ask.chat, message, now)
             self._run(ticket, pending, message, effects)
-        elif step.action == placement.Next.WAIT:
+        elif step.action == engine_search.Next.WAIT:
             wait_s = current.wait_ms / 1000 + self._cfg.answer_wait_s
             pending.until = now + wait_s
         else:
@@ -247,7 +247,7 @@
             if one.engine not in pending.ask.avoid
             and self._lookup.usable(pending.ask, one.engine)
         ]
-        pending.search = placement.Search(
+        pending.search = engine_search.Search(
             pending.home.cfg,
             pending.request,
             usable or found,
@@ -260,14 +260,14 @@
         self,
         ticket: int,
         pending: _Pending,
-        step: placement.Step,
+        step: engine_search.Step,
         effects: Effects,
         now: float,
     ) -> None:
         if step.ask is None:
             pending.current = None
             pending.until = now + step.retry_after_s
-            if step.action is not placement.Next.LATER:
+            if step.action is not engine_search.Next.LATER:
                 self._refuse(ticket, step, effects)
             return
         pending.owner = self._owner(pending.owner, step)
@@ -283,7 +283,9 @@
             ),
         )
 
-    def _owner(self, asked: ids.RouterId, step: placement.Step) -> ids.RouterId:
+    def _owner(
+        self, asked: ids.RouterId, step: engine_search.Step
+    ) -> ids.RouterId:
         """Return the router to ask, another one than before if wanted."""
         engine = step.ask.engine if step.ask else ids.EngineId('')
         owners = [
@@ -326,7 +328,7 @@
     def _refuse(
         self,
         ticket: int,
-        step: placement.Step,
+        step: engine_search.Step,
         effects: Effects,
     ) -> None:
         self._pending.pop(ticket)
