Write the fault page with make docs

Cause: docs/faults.md had no make target, and CONTRIBUTING named none. Change: make docs writes it beside docs/settings.md. Conclusion: one command writes the generated pages.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,4 @@
 
 docs: venv
 	$(PY) -m papayaloom.version.page > docs/settings.md
+	$(PY) -m papayaloom.bench.fault_matrix > docs/faults.md
