End a router whose decision core hangs

The cause is unknown. A core that had ended would also have left the process waiting for its threads. Change: process/liveness.py counts checks in a row without a tick; after 15 the router logs the core's stack and the process exits at once with status 1. A paused process is no fault (features/actor.feature, 4 passed). Core, processes and stops: 38 passed. Conclusion: a hanging core becomes a crash, which the fleet handles; its cause will be in the log when it comes back.

--- a/features/actor.feature
+++ b/features/actor.feature
@@ -7,3 +7,15 @@
     When a step for a request raises an unexpected exception
     Then that request is refused as not run
     And the actor still answers and counts one fault
+
+  Scenario Outline: A router ends when its decision core hangs, and not otherwise
+    A hanging core answered health checks for minutes and ignored SIGTERM.
+    Given a process that checks its actor each second
+    When the actor handles messages <before> and then <after>
+    Then the process <verdict>
+
+    Examples:
+      | before             | after                                | verdict |
+      | for 30 checks      | none for 16 checks                   | ends    |
+      | for 30 checks      | none for 15 checks                   | goes on |
+      | for 30 checks      | none while the whole process pauses  | goes on |
--- a/features/steps/actor_steps.py
+++ b/features/steps/actor_steps.py
@@ -4,7 +4,7 @@
 import pykka
 
 from papayaloom import clock, ids, messages
-from papayaloom.process import actors, admitting, core, current
+from papayaloom.process import actors, admitting, core, current, liveness
 
 
 class _Silent:
@@ -56,3 +56,32 @@
         actors.Query(lambda decisions, now: decisions.faults), timeout=5
     )
     assert faults == 1
+
+
+@behave.given('a process that checks its actor each second')
+def checks_actor(context):
+    context.liveness = liveness.Liveness(15)
+
+
+@behave.when('the actor handles messages for 30 checks and then {after}')
+def beats_then(context, after):
+    for _ in range(30):
+        context.liveness.beat()
+        assert not context.liveness.is_stuck()
+    if 'pauses' in after:
+        # No check runs during the pause, and one may run before the actor.
+        context.stuck = context.liveness.is_stuck()
+        context.liveness.beat()
+        return
+    checks = int(after.split()[2])
+    context.stuck = any([context.liveness.is_stuck() for _ in range(checks)])
+
+
+@behave.then('the process ends')
+def process_ends(context):
+    assert context.stuck
+
+
+@behave.then('the process goes on')
+def process_goes_on(context):
+    assert not context.stuck
--- a/papayaloom/commands/router.py
+++ b/papayaloom/commands/router.py
@@ -17,6 +17,7 @@
 SIGTERM begins a planned stop, which cuts off no request in flight.
 """
 
+import os
 import signal
 import sys
 
@@ -43,7 +44,10 @@
     try:
         process.wait()
     except errors.PapayaloomError as failed:
-        sys.exit(f'papayaloom-router: {failed}')
+        sys.stderr.write(f'papayaloom-router: {failed}\n')
+        sys.stderr.flush()
+        # Threads of open requests would keep a normal exit waiting.
+        os._exit(1)
 
 
 def main() -> None:
--- a/papayaloom/process/router.py
+++ b/papayaloom/process/router.py
@@ -1,8 +1,10 @@
 """Assembly of the router process: parts, actors, threads, planned stop."""
 
 import random
+import sys
 import threading
 import time
+import traceback
 
 import msgspec
 import pykka
@@ -22,6 +24,7 @@
     drain,
     http_front,
     ledger_writer,
+    liveness,
     metrics,
     office,
     outbox,
@@ -40,6 +43,9 @@
 _VIEW_S = 1.0
 # About 20 KB, which the byte budget sends within the time of a hand-over.
 _HANDED_RECORDS = 20
+_CHECK_S = 1.0
+# A busy host may delay an actor by seconds; its callers' deadlines are longer.
+_MISSED_CHECKS = 15
 
 
 class Router:
@@ -58,6 +64,7 @@
         self._boot = self._clock.unix_ms()
         self._current = current.Current()
         self._stopped = threading.Event()
+        self._liveness = liveness.Liveness(_MISSED_CHECKS)
         self._records = records.Records()
         rng = random.SystemRandom()
         self._core = core.Core(
@@ -125,10 +132,20 @@
         )
 
     def wait(self) -> None:
-        """Wait for the end of a planned stop."""
-        while not self._stopped.wait(1):
+        """Wait for the end of a planned stop.
+
+        :raises papayaloom.errors.PapayaloomError: the actor has ended, or
+            handles no messages; the process must end, so that the platform
+            replaces it and the other routers take over.
+        """
+        while not self._stopped.wait(_CHECK_S):
             if not self._actor.is_alive():
-                raise errors.PapayaloomError('the decision core failed')
+                raise errors.PapayaloomError('the decision core has ended')
+            if self._liveness.is_stuck():
+                _log.error(
+                    'router: the core hangs', stack=_stack('RouterActor')
+                )
+                raise errors.PapayaloomError('the decision core hangs')
         self._close()
 
     def begin_stop(self) -> None:
@@ -284,9 +301,12 @@
 
     def _tick(self) -> None:
         unix_ms = self._clock.unix_ms()
-        self._actor.tell(
-            actors.Run(lambda decisions, now: decisions.tick(now, unix_ms)),
-        )
+
+        def step(decisions: core.Core, now: float) -> admitting.Effects:
+            self._liveness.beat()
+            return decisions.tick(now, unix_ms)
+
+        self._actor.tell(actors.Run(step))
 
     def _configure(self, settings: snapshot.Snapshot) -> None:
         """Take a new version; called by the core, on the actor's thread."""
@@ -298,6 +318,17 @@
             _log.info('settings: version in force', version=settings.version)
 
 
+def _stack(prefix: str) -> str:
+    """Return the stacks of the threads whose name begins with a prefix."""
+    frames = sys._current_frames()  # noqa: SLF001
+    return ''.join(
+        line
+        for thread in threading.enumerate()
+        if thread.name.startswith(prefix) and thread.ident in frames
+        for line in traceback.format_stack(frames[thread.ident])
+    )
+
+
 def _member(file: bootstrap.Router, boot: int) -> messages.Member:
     return messages.Member(
         router=ids.RouterId(file.name),
