Test that killing a platform service cuts off no answer

Cause: engine, router and service had a scenario of real processes for a kill in the middle of an answer; host list, weight store and key-value service had none. Change: one scenario outline in features/processes.feature for the three. Conclusion: the kill of any stand-in or router is covered with a chat running.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -52,3 +52,14 @@
     Then every engine has version "2" and runs no order twice
     When model.version is set to "1"
     Then every engine has version "1" and runs no order twice
+
+  Scenario Outline: Killing the <part> in the middle of an answer changes nothing for the caller
+    Given a chat of 100 tokens is half way
+    When the process of the <part> is killed
+    Then the member gets the whole answer
+
+    Examples:
+      | part    |
+      | hosts   |
+      | weights |
+      | kv      |
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -365,3 +365,8 @@
         )
 
     eventually(all_have_version, 60)
+
+
+@behave.when('the process of the {part} is killed')
+def kill_part(context, part):
+    context.deployment.kill(part)
