Look an organisation's key up once, and list organisations in one place

Cause: found on the last read: the key check compared a digest in constant time with itself, which cannot fail and protects nothing; the loop over the branches of organisations stood in office.py and in configuration.py. Conclusion: the code no longer claims a protection that it does not have.

--- a/papayaloom/process/configuration.py
+++ b/papayaloom/process/configuration.py
@@ -170,6 +170,14 @@
     )
 
 
+def organisations(settings: snapshot.Snapshot) -> typing.Iterator[ids.OrgId]:
+    """Return the organisations that have a branch."""
+    for branch in settings.branches:
+        kind, _, name = branch.partition('/')
+        if kind == 'organisations':
+            yield ids.OrgId(name)
+
+
 def _by_organisation(
     settings: snapshot.Snapshot,
     path: str,
@@ -177,13 +185,10 @@
     """Return the values of organisations that differ from the fleet's."""
     usual = settings.resolve(path).value
     found: dict[ids.OrgId, float] = {}
-    for branch in settings.branches:
-        kind, _, name = branch.partition('/')
-        if kind != 'organisations':
-            continue
-        own = settings.resolve(path, org=name).value
+    for org in organisations(settings):
+        own = settings.resolve(path, org=org).value
         if own != usual:
-            found[ids.OrgId(name)] = typing.cast(float, own)
+            found[org] = typing.cast(float, own)
     return found
 
 
--- a/papayaloom/process/office.py
+++ b/papayaloom/process/office.py
@@ -1,7 +1,6 @@
 """Desk of the request path, in front of the router's actor."""
 
 import hashlib
-import hmac
 import itertools
 import typing
 
@@ -10,7 +9,14 @@
 
 from papayaloom import clock, errors, ids
 from papayaloom.ports import engine
-from papayaloom.process import actors, admitting, core, current, drain
+from papayaloom.process import (
+    actors,
+    admitting,
+    configuration,
+    core,
+    current,
+    drain,
+)
 from papayaloom.request import desk
 from papayaloom.version import snapshot
 
@@ -252,30 +258,15 @@
         if settings.version != self._version:
             self._hashes = _hashes(settings)
             self._version = settings.version
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        found = None
-        # The look-up is by a hash that the caller cannot steer; the compare
-        # in constant time keeps the last step from leaking as well.
-        for known, org in self._candidates(digest):
-            if hmac.compare_digest(known, digest):
-                found = org
-        return found
-
-    def _candidates(
-        self,
-        digest: str,
-    ) -> list[tuple[str, ids.OrgId]]:
-        org = self._hashes.get(digest)
-        return [(digest, org)] if org is not None else []
+        # The look-up compares SHA-256 digests, which a caller cannot steer, so
+        # its time tells nothing about a key.
+        return self._hashes.get(hashlib.sha256(key.encode()).hexdigest())
 
 
 def _hashes(settings: snapshot.Snapshot) -> dict[str, ids.OrgId]:
     found: dict[str, ids.OrgId] = {}
-    for branch in settings.branches:
-        kind, _, name = branch.partition('/')
-        if kind != 'organisations':
-            continue
-        hashes = settings.resolve('organisation.key_hashes', org=name).value
+    for org in configuration.organisations(settings):
+        hashes = settings.resolve('organisation.key_hashes', org=org).value
         for known in typing.cast('tuple[str, ...]', hashes):
-            found[known.lower()] = ids.OrgId(name)
+            found[known.lower()] = org
     return found
--- a/papayaloom/request/desk.py
+++ b/papayaloom/request/desk.py
@@ -220,7 +220,7 @@
     """Decisions that a request needs."""
 
     def organisation(self, key: str) -> ids.OrgId | None:
-        """Return whose bearer key this is, compared in constant time."""
+        """Return whose bearer key this is, looked up by its SHA-256 hash."""
 
     def settings(self) -> Settings:
         """Return the settings in force."""
