Serve the users' platform with a forwarding router

The router's owner-admits design refuses chats on a side without a majority and needs a hop to the owner; the platform may lose any number of hosts.

Change: a forwarding router (process/gateway) in the product: routes by host and longest prefix, replicas ranked by rendezvous on the shared prompt prefix with a bound on the estimated load, streams joined at whole events, one watch of the store for settings, replicas and hosts. platform/ translates headers, documents, settings and store calls.

Ruled out: urllib3 towards replicas (it can't watch the caller and the upstream together, nor read an early answer while it sends); WSGI towards callers (a broken stream must not get its end chunk).

--- /dev/null
+++ b/papayaloom/connection/listening.py
@@ -0,0 +1,58 @@
+"""Listening part of a cheroot server with limits on callers."""
+
+import contextlib
+import math
+import socket
+import typing
+
+from cheroot import server
+
+from papayaloom.connection import caller
+
+
+class LimitedServer(server.HTTPServer):
+    """Cheroot server with limits on callers."""
+
+    ConnectionClass = caller.Connection
+    limits: caller.Limits
+
+    def set_up(self, limits: caller.Limits) -> None:
+        """Take the first limits; called once, after the constructor."""
+        self._waiting: dict[typing.Any, None] = {}
+        self.configure(limits)
+
+    def configure(self, limits: caller.Limits) -> None:
+        """Take new limits; the backlog stays, and threads only grow."""
+        self.limits = limits
+        self.timeout = math.ceil(limits.idle_s)
+        self.max_request_header_size = limits.header_bytes
+        self.max_request_body_size = limits.body_bytes
+        self.keep_alive_conn_limit = limits.idle
+        missing = limits.threads - self.requests.min
+        if self.ready and missing > 0:
+            self.requests.grow(missing)
+            self.requests.min = limits.threads
+
+    def close_idle(self) -> None:
+        """Close each connection after its answer, for a planned stop."""
+        self.keep_alive_conn_limit = 0
+
+    def process_conn(self, conn: typing.Any) -> None:
+        """Give a connection to a worker when its first byte has arrived.
+
+        Cheroot gives a new connection to a worker at once, so idle
+        connections could take all workers.
+        """
+        if conn.awaited:
+            self._waiting.pop(conn, None)
+            super().process_conn(conn)
+            return
+        conn.awaited = True
+        self._waiting[conn] = None
+        if len(self._waiting) > self.limits.idle:
+            oldest = next(iter(self._waiting))
+            self._waiting.pop(oldest)
+            # Ends its wait; closing it here would confuse the selector.
+            with contextlib.suppress(OSError):
+                oldest.socket.shutdown(socket.SHUT_RD)
+        self.put_conn(conn)
--- /dev/null
+++ b/papayaloom/platform/headers.py
@@ -0,0 +1,189 @@
+"""Headers of the platform, translated."""
+
+import typing
+
+from papayaloom import errors, ids
+from papayaloom.request import onward
+
+_REQUEST_ID = b'Papayaloom-Request-Id'
+_TIMEOUT_MS = b'Papayaloom-Request-Deadline'
+_PROMPT_PARTS = b'Papayaloom-Prompt-Prefix'
+_TOKENS = b'Papayaloom-Token-Counts'
+_LAST_EVENT = b'Last-Event-Id'
+_RECEIPT = b'papayaloom-response-seal'
+_ORGANISATION = b'Papayaloom-Tenant-Name'
+_REPLICA = b'Papayaloom-Expected-Replica'
+_PRIORITY = b'Papayaloom-Request-Priority'
+_LOAD = b'papayaloom-replica-load'
+_NOT_RUN = b'papayaloom-not-executed'
+_KEY_SCHEME = 'Bearer '
+_MISDIRECTED = 421
+_LEAST_TIMEOUT_MS = 1
+_HIGHEST_PRIORITY = 9
+_PART_FIELDS = 2
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+        b'content-length',
+    )
+)
+# Headers that only the fleet may set.
+_FLEET_ONLY = frozenset(
+    (
+        b'authorization',
+        b'kv-fetch',
+        b'kv-from',
+        b'last-event-id',
+        b'papayaloom-expected-replica',
+        b'papayaloom-expected-version',
+        b'papayaloom-kv-backup',
+        b'papayaloom-kv-hold',
+        b'papayaloom-kv-pin-duration',
+        b'papayaloom-request-deadline',
+        b'papayaloom-request-priority',
+        b'papayaloom-tenant-name',
+    )
+)
+
+
+class PlatformDialect:
+    """Translates between the platform's headers and the product's types."""
+
+    def request_id(self, headers: typing.Mapping[bytes, bytes]) -> str:
+        """Return the id of a request, for logs."""
+        return headers.get(_REQUEST_ID, b'').decode('latin-1')
+
+    def read_request(
+        self, headers: typing.Mapping[bytes, bytes]
+    ) -> onward.Asked:
+        """Read the headers of a caller."""
+        prompt, output = _token_counts(headers.get(_TOKENS, b''))
+        return onward.Asked(
+            request_id=ids.RequestId(self.request_id(headers)),
+            timeout_s=_timeout_s(headers.get(_TIMEOUT_MS, b'')),
+            key=_key(headers.get(b'Authorization', b'')),
+            parts=_parts(headers.get(_PROMPT_PARTS, b'')),
+            prompt_tokens=prompt,
+            output_tokens=output,
+            last_event_id=headers.get(_LAST_EVENT, b'').decode('latin-1'),
+        )
+
+    def upstream_headers(
+        self, headers: typing.Mapping[bytes, bytes], sent: onward.Onward
+    ) -> onward.Headers:
+        """Return the headers for an upstream."""
+        named = headers.get(b'Connection', b'').lower().split(b',')
+        dropped = {name.strip() for name in named} | _HOP_BY_HOP | _FLEET_ONLY
+        kept = [
+            (name, text)
+            for name, text in headers.items()
+            if name.lower() not in dropped
+        ]
+        left_ms = max(int(sent.left_s * 1000), _LEAST_TIMEOUT_MS)
+        kept.append((_TIMEOUT_MS, b'%d' % left_ms))
+        kept.append((_REPLICA, sent.replica.encode()))
+        if sent.organisation:
+            kept.append((_ORGANISATION, sent.organisation.encode()))
+        if sent.last_event_id:
+            kept.append((_LAST_EVENT, sent.last_event_id.encode()))
+        if sent.priority is not None:
+            urgency = min(sent.priority, _HIGHEST_PRIORITY)
+            kept.append((_PRIORITY, b'%d' % urgency))
+        if sent.body_bytes or b'Content-Length' in headers:
+            kept.append((b'Content-Length', b'%d' % sent.body_bytes))
+        return kept
+
+    def read_answer(self, status: int, headers: onward.Headers) -> onward.Marks:
+        """Read the headers of an upstream."""
+        found = {name.lower(): text for name, text in headers}
+        coding = found.get(b'content-encoding', b'identity').strip().lower()
+        return onward.Marks(
+            request_id=found.get(_REQUEST_ID.lower(), b'').decode('latin-1'),
+            receipt=found.get(_RECEIPT, b'').decode('latin-1'),
+            is_not_run=_NOT_RUN in found or status == _MISDIRECTED,
+            is_misdirected=status == _MISDIRECTED,
+            load=_load(found.get(_LOAD, b'')),
+            idle_s=_idle_s(found.get(b'keep-alive', b'')),
+            is_encoded=coding != b'identity',
+        )
+
+    def caller_headers(self, headers: onward.Headers) -> onward.Headers:
+        """Return the headers of an answer for the caller."""
+        return [
+            (name, text)
+            for name, text in headers
+            if name.lower() not in _HOP_BY_HOP
+        ]
+
+
+def _timeout_s(text: bytes) -> float | None:
+    if not text:
+        return None
+    try:
+        timeout_ms = float(text)
+    except ValueError as exc:
+        raise _unreadable(_TIMEOUT_MS, text) from exc
+    # NaN fails this comparison too.
+    if not timeout_ms >= 0:
+        raise _unreadable(_TIMEOUT_MS, text)
+    return timeout_ms / 1000
+
+
+def _key(text: bytes) -> str:
+    decoded = text.decode('latin-1')
+    if not decoded.startswith(_KEY_SCHEME):
+        return ''
+    return decoded.removeprefix(_KEY_SCHEME).strip()
+
+
+def _parts(text: bytes) -> tuple[onward.PromptPart, ...]:
+    parts = []
+    for entry in text.decode('latin-1').split(','):
+        fields = entry.strip().split(':')
+        if len(fields) == _PART_FIELDS and fields[1].isdigit():
+            parts.append(onward.PromptPart(fields[0], int(fields[1])))
+    return tuple(parts)
+
+
+def _token_counts(text: bytes) -> tuple[int, int]:
+    fields = text.split(b',')
+    if len(fields) != 2 or not all(one.strip().isdigit() for one in fields):
+        return 0, 0
+    return int(fields[0]), int(fields[1])
+
+
+def _load(text: bytes) -> onward.Load | None:
+    fields = text.split(b',')
+    if len(fields) != 3 or not all(one.strip().isdigit() for one in fields):
+        return None
+    running, waiting, slots = (int(one) for one in fields)
+    return onward.Load(running, waiting, slots)
+
+
+def _idle_s(text: bytes) -> float | None:
+    for entry in text.split(b','):
+        name, _, seconds = entry.strip().partition(b'=')
+        if name.lower() == b'timeout' and seconds.isdigit():
+            return float(seconds)
+    return None
+
+
+def _unreadable(name: bytes, text: bytes) -> errors.RefusedError:
+    return errors.RefusedError(
+        errors.Problem(
+            f'{name.decode()} is not a number of milliseconds',
+            400,
+            detail=text.decode('latin-1'),
+        )
+    )
--- /dev/null
+++ b/papayaloom/platform/main.py
@@ -0,0 +1,51 @@
+"""The forwarding router on the users' platform.
+
+The settings file is named by the variable ``PAPAYALOOM_SETTINGS``. SIGTERM
+begins a planned stop.
+"""
+
+import os
+import signal
+import sys
+
+from papayaloom import errors
+from papayaloom.commands import logs
+from papayaloom.platform import documents, headers, settings, store
+from papayaloom.process import gateway
+
+
+class Outside:
+    """What the platform speaks."""
+
+    dialect = headers.PlatformDialect()
+    keys = documents.KEYS
+    tables = staticmethod(documents.tables)
+    replica = staticmethod(documents.replica)
+    directory_answer = staticmethod(documents.directory_answer)
+    is_readiness = staticmethod(documents.is_readiness)
+
+
+def main() -> None:
+    """Run the process until it is told to stop."""
+    logs.configure()
+    try:
+        cfg = settings.load(settings.path_of_process())
+        process = gateway.Gateway(
+            cfg.process, store.PlatformStore(cfg.store), Outside()
+        )
+    except errors.SettingsError as exc:
+        sys.exit(f'papayaloom-gateway: {exc}')
+    signal.signal(signal.SIGTERM, lambda *_: process.begin_stop())
+    signal.signal(signal.SIGINT, lambda *_: process.begin_stop())
+    # The settings of the process name addresses, which a restart changes.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    process.start()
+    process.wait()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Threads of open connections would keep a normal exit waiting.
+    os._exit(0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/papayaloom/platform/settings.py
@@ -0,0 +1,116 @@
+"""Settings file of the platform: lines of the form ``a.b=value``."""
+
+import os
+
+import msgspec
+
+from papayaloom import errors
+from papayaloom.platform import documents
+from papayaloom.process import fleet_hosts, gateway, gateway_stop
+
+VARIABLE = 'PAPAYALOOM_SETTINGS'
+METRICS_PORT = 9464
+# The process ends this long before the platform kills it.
+_END_MARGIN_S = 0.45
+_LONGEST_TTL_S = 2.0
+_LEASE_S = 3.0
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """Settings of the process.
+
+    :param store: ``IP:PORT`` of the platform's store.
+    """
+
+    store: str
+    process: gateway.Cfg
+
+
+def load(path: str) -> Settings:
+    """Read the settings file.
+
+    :raises papayaloom.errors.SettingsError: a field is missing or wrong.
+    """
+    try:
+        with open(path, encoding='utf-8') as lines:
+            fields = parse(lines.read())
+    except OSError as exc:
+        raise errors.SettingsError(f'settings file {path}: {exc}') from exc
+    return read(fields)
+
+
+def path_of_process() -> str:
+    """Return the path of the settings file.
+
+    :raises papayaloom.errors.SettingsError: the variable is not set.
+    """
+    path = os.environ.get(VARIABLE, '')
+    if not path:
+        raise errors.SettingsError(f'{VARIABLE} names no settings file')
+    return path
+
+
+def parse(text: str) -> dict[str, str]:
+    """Return the fields by their full name."""
+    fields = {}
+    for line in text.splitlines():
+        name, found, field = line.strip().partition('=')
+        if found and not name.startswith('#'):
+            fields[name.strip()] = field.strip()
+    return fields
+
+
+def read(fields: dict[str, str]) -> Settings:
+    """Check the fields.
+
+    :raises papayaloom.errors.SettingsError: a field is missing or wrong.
+    """
+    grace_s = _number(fields, 'bounds.graceS', 8)
+    ttl_s = _number(fields, 'bounds.ttl_max_s', _LONGEST_TTL_S)
+    term_s = _number(fields, 'platform.ttlMinMs', 0) / 1000
+    callers = _address(fields, 'listen.front')
+    return Settings(
+        store=_text(fields, 'platform.address'),
+        process=gateway.Cfg(
+            host=fleet_hosts.Host(
+                _text(fields, 'nodeName'),
+                _text(fields, 'listen.front'),
+                fields.get('zone', ''),
+            ),
+            addresses=gateway.Addresses(
+                callers=callers,
+                readiness=_address(fields, 'listen.ready'),
+                directory=_address(fields, 'listen.directory'),
+                metrics=(callers[0], METRICS_PORT),
+            ),
+            ttl_s=min(ttl_s, _LONGEST_TTL_S),
+            lease_s=max(term_s, _LEASE_S),
+            stop=gateway_stop.Cfg(longest_s=grace_s - _END_MARGIN_S),
+        ),
+    )
+
+
+def _text(fields: dict[str, str], name: str) -> str:
+    if not fields.get(name):
+        raise errors.SettingsError(f'settings field {name} is missing')
+    return fields[name]
+
+
+def _address(fields: dict[str, str], name: str) -> tuple[str, int]:
+    text = _text(fields, name)
+    try:
+        return documents.address(text)
+    except ValueError as exc:
+        raise errors.SettingsError(f'settings field {name}: {exc}') from exc
+
+
+def _number(fields: dict[str, str], name: str, default: float) -> float:
+    text = fields.get(name, '')
+    if not text:
+        return default
+    try:
+        return float(text)
+    except ValueError as exc:
+        raise errors.SettingsError(
+            f'settings field {name}: {text!r} is not a number'
+        ) from exc
--- /dev/null
+++ b/papayaloom/process/dispatch.py
@@ -0,0 +1,178 @@
+"""Decision state of a forwarding router: replicas, loads, ejections, budgets.
+
+Owned by one actor. Takes typed facts and the time, and returns placements.
+"""
+
+import random
+import typing
+
+import msgspec
+import result
+
+from papayaloom import errors, ids
+from papayaloom.process import budgets, ejection, replicas, spread
+from papayaloom.request import onward
+
+# A replica that could not be reached gets no new work for this long.
+_UNREACHABLE_S = 2.0
+_NONE_READY_S = 0.5
+_NO_BUDGET_S = 1.0
+
+
+class Cfg(msgspec.Struct, frozen=True):
+    """Settings of the parts."""
+
+    lapses: replicas.Cfg = replicas.Cfg()
+    spreading: spread.Cfg = spread.Cfg()
+    ejecting: ejection.Cfg = ejection.Cfg(
+        consecutive=4, window=16, base_s=2, longest_s=8
+    )
+    retries: budgets.Cfg = budgets.Cfg(
+        budget_ratio=0.12, saved_retries=5, idle_retries_per_s=0.3
+    )
+
+
+class Wanted(msgspec.Struct, frozen=True):
+    """A request that needs a replica.
+
+    :param prefix: name of its shared prompt prefix, or empty.
+    :param tried: replicas that have had it.
+    :param is_repeat: a replica has received it before.
+    """
+
+    service: ids.ServiceId
+    prefix: str = ''
+    tried: frozenset[str] = frozenset()
+    is_repeat: bool = False
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """End of an attempt.
+
+    :param is_failure: the replica failed; None when it was not at fault.
+    :param is_unreachable: no connection to it could be made.
+    """
+
+    service: ids.ServiceId
+    replica: replicas.ReplicaId
+    is_failure: bool | None = None
+    is_unreachable: bool = False
+
+
+Placed = result.Result[replicas.Replica, errors.Problem]
+
+
+class Dispatch:
+    """Placement of requests at the replicas of all services."""
+
+    def __init__(self, cfg: Cfg, rng: random.Random) -> None:
+        """Start without replicas."""
+        self.replicas = replicas.Replicas(cfg.lapses)
+        self._cfg = cfg
+        self._rng = rng
+        self._loads = spread.Loads(cfg.spreading)
+        self._budgets = budgets.Budgets(cfg.retries)
+        self._ejections: dict[ids.ServiceId, ejection.Ejection] = {}
+        self._unreachable: dict[str, float] = {}
+
+    def place(self, wanted: Wanted, now: float) -> Placed:
+        """Return the replica for an attempt, and count it there."""
+        ready = self.replicas.ready(wanted.service)
+        if not ready:
+            return result.Err(_none_ready(wanted))
+        ejections = self._ejection(wanted.service)
+        ejections.update_upstreams(one.id for one in ready)
+        candidates = self._candidates(wanted, ready, now)
+        if not candidates:
+            return result.Err(_none_ready(wanted))
+        if wanted.is_repeat and not self._budgets.spend(wanted.service, now):
+            return result.Err(
+                errors.Problem(
+                    'the retry budget is spent', 503, retry_after_s=_NO_BUDGET_S
+                )
+            )
+        names = [one.id for one in ready]
+        loads = self._loads.estimates(names, now)
+        chosen = spread.choose(
+            candidates, loads, wanted.prefix, self._cfg.spreading, self._rng
+        )
+        if ejections.standing(chosen.id, now) is ejection.Standing.TRIAL:
+            ejections.try_out(chosen.id, now)
+        self._loads.started(chosen.id)
+        return result.Ok(chosen)
+
+    def ended(self, outcome: Outcome, now: float) -> None:
+        """Take the end of an attempt."""
+        self._loads.ended(outcome.replica)
+        if outcome.is_unreachable:
+            self._unreachable[outcome.replica] = now + _UNREACHABLE_S
+        if outcome.is_failure is None:
+            return
+        ejections = self._ejection(outcome.service)
+        if outcome.is_failure:
+            ejections.failed(outcome.replica, now)
+            return
+        ejections.succeeded(outcome.replica, now)
+        self._budgets.succeeded(outcome.service, now)
+
+    def reported(
+        self, replica: replicas.ReplicaId, load: onward.Load, now: float
+    ) -> None:
+        """Take the load that a replica states."""
+        self._loads.reported(replica, load, now)
+
+    def forget(self, gone: typing.Iterable[replicas.ReplicaId]) -> None:
+        """Drop what is known of replicas that are gone or started anew."""
+        for replica in gone:
+            self._loads.forget(replica)
+            self._unreachable.pop(replica, None)
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return the state for the dump."""
+        listed = self.replicas.dump()
+        names = [one.id for one in listed]
+        return {
+            'replicas': listed,
+            'loads': self._loads.estimates(names, now),
+            'unreachable': dict(self._unreachable),
+            'ejections': {
+                service: part.dump(now)
+                for service, part in self._ejections.items()
+            },
+            'retries_left': self._budgets.dump(now),
+        }
+
+    def _candidates(
+        self,
+        wanted: Wanted,
+        ready: list[replicas.Replica],
+        now: float,
+    ) -> list[replicas.Replica]:
+        """Return the replicas that may get it, the sound ones if any are."""
+        untried = [one for one in ready if one.id not in wanted.tried]
+        reachable = [
+            one for one in untried if self._unreachable.get(one.id, 0) <= now
+        ]
+        ejections = self._ejection(wanted.service)
+        sound = [
+            one
+            for one in reachable
+            if ejections.standing(one.id, now) is not ejection.Standing.EJECTED
+        ]
+        return sound or reachable or untried
+
+    def _ejection(self, service: ids.ServiceId) -> ejection.Ejection:
+        if service not in self._ejections:
+            self._ejections[service] = ejection.Ejection(
+                self._cfg.ejecting, self._rng
+            )
+        return self._ejections[service]
+
+
+def _none_ready(wanted: Wanted) -> errors.Problem:
+    return errors.Problem(
+        'no replica can take the request',
+        503,
+        detail=f'service {wanted.service}',
+        retry_after_s=_NONE_READY_S,
+    )
--- /dev/null
+++ b/papayaloom/process/dispatch_actor.py
@@ -0,0 +1,71 @@
+"""Actor that owns the decision state of a forwarding router."""
+
+import typing
+
+import msgspec
+import pykka
+import structlog
+
+from papayaloom import clock
+from papayaloom.process import dispatch
+from papayaloom.request import onward
+
+_log = structlog.get_logger('dispatch')
+# A step takes microseconds; a longer wait means that the actor is dead.
+_ASK_S = 2.0
+
+Step = typing.Callable[[dispatch.Dispatch, float], typing.Any]
+
+
+class Run(msgspec.Struct, frozen=True):
+    """Runs a step of the decision state."""
+
+    step: Step
+
+
+class DispatchActor(pykka.ThreadingActor):
+    """Runs steps one after the other."""
+
+    use_daemon_thread = True
+
+    def __init__(self, decisions: dispatch.Dispatch, source: clock.Clock):
+        """Take over the state; nobody else may use it any more."""
+        super().__init__()
+        self._decisions = decisions
+        self._clock = source
+
+    def on_receive(self, message: typing.Any) -> typing.Any:
+        """Run a step; a fault in one does not end the process."""
+        try:
+            return message.step(self._decisions, self._clock.monotonic())
+        except Exception:
+            _log.exception('dispatch: a step failed')
+            raise
+
+
+class Desk:
+    """Way of other threads to the decision state."""
+
+    def __init__(self, actor: pykka.ActorRef[DispatchActor]) -> None:
+        """Keep the actor."""
+        self._actor = actor
+
+    def place(self, wanted: dispatch.Wanted) -> dispatch.Placed:
+        """Return the replica for an attempt."""
+        return self.ask(lambda decisions, now: decisions.place(wanted, now))
+
+    def ended(self, outcome: dispatch.Outcome) -> None:
+        """Tell the end of an attempt."""
+        self.tell(lambda decisions, now: decisions.ended(outcome, now))
+
+    def reported(self, replica: typing.Any, load: onward.Load) -> None:
+        """Tell the load that a replica states."""
+        self.tell(lambda decisions, now: decisions.reported(replica, load, now))
+
+    def ask(self, step: Step) -> typing.Any:
+        """Run a step and return its value."""
+        return self._actor.ask(Run(step), timeout=_ASK_S)
+
+    def tell(self, step: Step) -> None:
+        """Run a step some time soon."""
+        self._actor.tell(Run(step))
--- /dev/null
+++ b/papayaloom/process/feed.py
@@ -0,0 +1,144 @@
+"""Follows the platform's store: settings, replicas and hosts of the fleet.
+
+One watch serves all three. Between two answers it pauses, because heartbeats
+change the store many times a second and every call has its price.
+"""
+
+import random
+import threading
+import typing
+
+import msgspec
+import structlog
+
+from papayaloom import errors
+from papayaloom.ports import kv
+
+_log = structlog.get_logger('feed')
+WATCH_WAIT_S = 1.0
+PAUSE_S = 0.35
+_RETRY_S = 0.25
+_PAGE = 500
+
+
+class Source(msgspec.Struct, frozen=True):
+    """A prefix of keys and who takes them.
+
+    :param replace: takes the whole listing.
+    :param update: takes one changed entry.
+    :param remove: takes the key of a removed entry.
+    """
+
+    prefix: str
+    replace: typing.Callable[[list[kv.Entry]], object]
+    update: typing.Callable[[str, bytes], object]
+    remove: typing.Callable[[str], object]
+
+
+class Health(msgspec.Struct, frozen=True):
+    """Who is told whether the store answers."""
+
+    answered: typing.Callable[[], object]
+    failed: typing.Callable[[], object]
+
+
+class Feed:
+    """Thread that lists the sources once and then follows their changes."""
+
+    def __init__(
+        self,
+        store: kv.Kv,
+        sources: tuple[Source, ...],
+        health: Health,
+        rng: random.Random,
+    ) -> None:
+        """Prepare the thread."""
+        self._store = store
+        self._sources = sources
+        self._health = health
+        self._rng = rng
+        self._stopping = threading.Event()
+        self._revision: int | None = None
+        self._is_lost = False
+
+    def start(self) -> None:
+        """Run the thread."""
+        threading.Thread(target=self._run, name='feed', daemon=True).start()
+
+    def stop(self) -> None:
+        """End the thread after its present call."""
+        self._stopping.set()
+
+    def step(self) -> None:
+        """List or watch once.
+
+        :raises papayaloom.errors.StoreUnavailableError: the store is away.
+        """
+        if self._revision is None:
+            self._revision = min(self._list(one) for one in self._sources)
+            return
+        watched = self._store.watch('', self._revision, WATCH_WAIT_S)
+        if watched.lost:
+            _log.info('feed: the history is gone', revision=self._revision)
+            self._revision = None
+            return
+        self._revision = watched.revision
+        for event in watched.events:
+            self._dispatch(event)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                self.step()
+            except errors.StoreUnavailableError as exc:
+                self._failed(exc)
+                self._stopping.wait(self._rng.uniform(0.5, 1.5) * _RETRY_S)
+                continue
+            except Exception:
+                # The thread must go on: without it this host would keep to
+                # an old state for ever.
+                _log.exception('feed: a change could not be taken')
+                self._revision = None
+                self._stopping.wait(_RETRY_S)
+                continue
+            self._answered()
+            if self._revision is not None:
+                self._stopping.wait(PAUSE_S)
+
+    def _answered(self) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            _log.info('feed: the store answers again')
+        self._health.answered()
+
+    def _failed(self, exc: errors.StoreUnavailableError) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            _log.warning('feed: the store is away', reason=str(exc))
+        self._health.failed()
+
+    def _list(self, source: Source) -> int:
+        entries: list[kv.Entry] = []
+        after = ''
+        revision: int | None = None
+        while True:
+            page = self._store.list_prefix(source.prefix, after, _PAGE)
+            if revision is None:
+                # Changes made while the later pages are read are seen again.
+                revision = page.revision
+            entries.extend(page.entries)
+            if not page.more or not page.entries:
+                break
+            after = page.entries[-1].key
+        self._health.answered()
+        source.replace(entries)
+        return revision
+
+    def _dispatch(self, event: kv.Event) -> None:
+        for source in self._sources:
+            if not event.key.startswith(source.prefix):
+                continue
+            if event.deleted:
+                source.remove(event.key)
+            else:
+                source.update(event.key, event.value)
--- /dev/null
+++ b/papayaloom/process/forwarder.py
@@ -0,0 +1,392 @@
+"""Forwards one request: attempts at replicas, streams, the answer.
+
+Runs on a worker thread of the ingress. What follows a failure is decided in
+:mod:`papayaloom.request.forwarding`, where a request goes in
+:mod:`papayaloom.process.dispatch`.
+"""
+
+import random
+import time
+
+import h11
+import msgspec
+import result
+import structlog
+
+from papayaloom import errors, ids
+from papayaloom.connection import channel, idle_pool, ingress
+from papayaloom.process import dispatch, dispatch_actor, replicas
+from papayaloom.request import events, forwarding, onward
+from papayaloom.version import routes
+
+_log = structlog.get_logger('forward')
+_MAX_ANSWER_BYTES = 8_388_608
+_LATE_RETRY_S = 0.5
+_SERVER_ERROR = 500
+_NOT_RUN = errors.Verdict.NOT_RUN
+_MAY_HAVE_RUN = errors.Verdict.MAY_HAVE_RUN
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer of a replica."""
+
+    status: int
+    headers: onward.Headers
+    content: bytes
+
+
+class Job(msgspec.Struct):
+    """A request that is being forwarded.
+
+    :param deadline: monotonic time at which the caller gets a final answer.
+    :param failed: a replica's own failure, kept in case no other does better.
+    :param joiner: events so far; nothing for a plain call.
+    """
+
+    inbound: ingress.Inbound
+    asked: onward.Asked
+    route: routes.Route
+    service: ids.ServiceId
+    organisation: str
+    priority: int | None
+    deadline: float
+    joiner: events.Joiner
+    progress: forwarding.Progress = msgspec.field(
+        default_factory=forwarding.Progress
+    )
+    tried: set[str] = msgspec.field(default_factory=set)
+    failed: Answer | None = None
+
+    def left_s(self) -> float:
+        """Return the time left."""
+        return self.deadline - time.monotonic()
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """A failed attempt.
+
+    :param replica_failed: whether the replica is to blame; None if not known.
+    """
+
+    verdict: errors.Verdict
+    why: str
+    replica_failed: bool | None = None
+    is_unreachable: bool = False
+
+
+class Parts(msgspec.Struct, frozen=True):
+    """What the forwarder works with."""
+
+    desk: dispatch_actor.Desk
+    dialect: onward.Dialect
+    pool: idle_pool.IdlePool
+    rng: random.Random
+
+
+Outcome = result.Result[int, Failure]
+
+
+class Forwarder:
+    """Forwards requests; thread-safe."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Keep the parts."""
+        self._parts = parts
+
+    def forward(self, job: Job) -> int:
+        """Answer a request.
+
+        :returns: the status that the caller got.
+        :raises papayaloom.errors.RefusedError: it gets a problem document.
+        :raises papayaloom.connection.ingress.BrokenOffError: the answer had
+            begun and can't be completed.
+        :raises papayaloom.connection.channel.CallerGoneError: the caller left.
+        """
+        while True:
+            placed = self._place(job)
+            if isinstance(placed, result.Err):
+                return self._give_up(job, placed.err_value)
+            outcome = self._attempt(job, placed.ok_value)
+            if isinstance(outcome, result.Ok):
+                return outcome.ok_value
+            failure = outcome.err_value
+            step = forwarding.after_failure(
+                job.route, job.progress, failure.verdict, job.left_s()
+            )
+            self._log_failure(job, placed.ok_value, failure, step)
+            if step is forwarding.Step.FAIL:
+                return self._give_up(job, _failed(job, failure))
+
+    def _place(self, job: Job) -> dispatch.Placed:
+        wanted = dispatch.Wanted(
+            job.service,
+            _shared_prefix(job),
+            frozenset(job.tried),
+            job.progress.sends > 0,
+        )
+        return self._parts.desk.place(wanted)
+
+    def _attempt(self, job: Job, replica: replicas.Replica) -> Outcome:
+        job.tried.add(replica.id)
+        failure: Failure | None = None
+        try:
+            outcome = self._exchange(job, replica)
+        except BaseException:
+            self._ended(job, replica, Failure(_MAY_HAVE_RUN, 'left'))
+            raise
+        if isinstance(outcome, result.Err):
+            failure = outcome.err_value
+            _count(job.progress, failure)
+        self._ended(job, replica, failure)
+        return outcome
+
+    def _exchange(self, job: Job, replica: replicas.Replica) -> Outcome:
+        try:
+            conn = self._connect(job, replica)
+        except errors.UpstreamError as exc:
+            return result.Err(Failure(_NOT_RUN, str(exc), is_unreachable=True))
+        try:
+            outcome = self._run(job, replica, conn)
+        except errors.UpstreamError as exc:
+            conn.close()
+            has_run = exc.verdict is not _NOT_RUN
+            return result.Err(Failure(exc.verdict, str(exc), has_run or None))
+        except channel.LateError:
+            conn.close()
+            return result.Err(Failure(_MAY_HAVE_RUN, 'no answer in time', True))
+        except BaseException:
+            conn.close()
+            raise
+        if conn.finish():
+            self._parts.pool.give(replica.id, conn)
+        else:
+            conn.close()
+        return outcome
+
+    def _connect(self, job: Job, replica: replicas.Replica) -> channel.Channel:
+        conn = self._parts.pool.take(
+            replica.id, fresh=not job.route.is_repeatable
+        )
+        return conn or channel.Channel(replica.address)
+
+    def _run(
+        self, job: Job, replica: replicas.Replica, conn: channel.Channel
+    ) -> Outcome:
+        head = self._head(job, replica)
+        conn.send(head, job.inbound.body)
+        wait_s = forwarding.answer_wait_s(job.route, job.progress, job.left_s())
+        until = time.monotonic() + wait_s
+        while True:
+            response = conn.receive(until, job.inbound.caller_fd)
+            marks = self._parts.dialect.read_answer(
+                response.status_code, list(response.headers.raw_items())
+            )
+            if marks.load is not None:
+                self._parts.desk.reported(replica.id, marks.load)
+            conn.idle_s = marks.idle_s or conn.idle_s
+            if marks.request_id in {'', job.asked.request_id}:
+                break
+            # A late or doubled answer to an earlier request.
+            self._read_body(job, conn, until)
+            conn.skip_answer(head)
+        if marks.is_not_run:
+            self._read_body(job, conn, until)
+            return result.Err(
+                Failure(_NOT_RUN, f'refused with {response.status_code}')
+            )
+        if not marks.receipt or marks.is_encoded:
+            raise errors.UpstreamError('no receipt', _MAY_HAVE_RUN)
+        if _is_event_stream(job, response):
+            return self._stream(job, conn, response, until)
+        return self._whole(job, conn, response, until)
+
+    def _head(self, job: Job, replica: replicas.Replica) -> channel.Head:
+        last = job.joiner.last
+        sent = onward.Onward(
+            left_s=job.left_s(),
+            replica=replica.id,
+            organisation=job.organisation,
+            last_event_id='' if last is None else str(last),
+            priority=job.priority,
+            body_bytes=len(job.inbound.body),
+        )
+        return channel.Head(
+            job.inbound.method,
+            job.inbound.target,
+            self._parts.dialect.upstream_headers(job.inbound.headers, sent),
+        )
+
+    def _whole(
+        self,
+        job: Job,
+        conn: channel.Channel,
+        response: h11.Response,
+        until: float,
+    ) -> Outcome:
+        content = self._read_body(job, conn, until)
+        answer = Answer(
+            response.status_code,
+            self._parts.dialect.caller_headers(
+                list(response.headers.raw_items())
+            ),
+            content,
+        )
+        if answer.status >= _SERVER_ERROR:
+            job.failed = answer
+            if job.route.is_repeatable and not job.progress.has_begun:
+                why = f'the replica failed with {answer.status}'
+                return result.Err(Failure(_MAY_HAVE_RUN, why, True))
+        if job.progress.has_begun:
+            why = f'the stream went on with {answer.status}'
+            return result.Err(Failure(_MAY_HAVE_RUN, why))
+        _deliver(job, answer)
+        return result.Ok(answer.status)
+
+    def _read_body(
+        self, job: Job, conn: channel.Channel, until: float
+    ) -> bytes:
+        parts = []
+        size = 0
+        while True:
+            event = conn.receive(until, job.inbound.caller_fd)
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > _MAX_ANSWER_BYTES:
+                raise errors.UpstreamError('answer too long', _MAY_HAVE_RUN)
+
+    def _stream(
+        self,
+        job: Job,
+        conn: channel.Channel,
+        response: h11.Response,
+        until: float,
+    ) -> Outcome:
+        job.joiner.restart()
+        while True:
+            event = conn.receive(until, job.inbound.caller_fd)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            try:
+                content = job.joiner.feed(bytes(event.data))
+            except errors.CodecError as exc:
+                raise errors.UpstreamError(str(exc), _MAY_HAVE_RUN) from exc
+            if content:
+                self._pass_on(job, response, content)
+                pause_s = forwarding.pause_s(
+                    job.route, job.progress, job.left_s()
+                )
+                until = time.monotonic() + pause_s
+        if job.joiner.is_torn:
+            raise errors.UpstreamError('ended inside an event', _MAY_HAVE_RUN)
+        if not job.progress.has_begun:
+            self._begin(job, response)
+        return result.Ok(response.status_code)
+
+    def _pass_on(
+        self, job: Job, response: h11.Response, content: bytes
+    ) -> None:
+        if not job.progress.has_begun:
+            self._begin(job, response)
+        try:
+            job.inbound.write(content)
+        except OSError as exc:
+            raise channel.CallerGoneError(f'not written: {exc}') from exc
+
+    def _begin(self, job: Job, response: h11.Response) -> None:
+        job.progress.has_begun = True
+        headers = self._parts.dialect.caller_headers(
+            list(response.headers.raw_items())
+        )
+        try:
+            job.inbound.begin(response.status_code, headers)
+        except OSError as exc:
+            raise channel.CallerGoneError(f'not written: {exc}') from exc
+
+    def _ended(
+        self,
+        job: Job,
+        replica: replicas.Replica,
+        failure: Failure | None,
+    ) -> None:
+        self._parts.desk.ended(
+            dispatch.Outcome(
+                job.service,
+                replica.id,
+                failure.replica_failed if failure else False,
+                bool(failure and failure.is_unreachable),
+            )
+        )
+
+    def _give_up(self, job: Job, problem: errors.Problem) -> int:
+        if job.progress.has_begun:
+            raise ingress.BrokenOffError(problem.title)
+        if job.failed is not None:
+            _deliver(job, job.failed)
+            return job.failed.status
+        if job.progress.runs and problem.status == 503:
+            problem = errors.Problem(
+                problem.title, 502, verdict=_MAY_HAVE_RUN.value
+            )
+        raise errors.RefusedError(problem)
+
+    def _log_failure(
+        self,
+        job: Job,
+        replica: replicas.Replica,
+        failure: Failure,
+        step: forwarding.Step,
+    ) -> None:
+        _log.info(
+            'forward: an attempt failed',
+            request=job.asked.request_id,
+            route=job.route.name,
+            replica=replica.id,
+            verdict=failure.verdict.value,
+            why=failure.why,
+            runs=job.progress.runs,
+            left_s=round(job.left_s(), 3),
+            step=step.value,
+        )
+
+
+def _count(progress: forwarding.Progress, failure: Failure) -> None:
+    if failure.is_unreachable:
+        return
+    progress.sends += 1
+    if failure.verdict is not _NOT_RUN:
+        progress.runs += 1
+
+
+def _shared_prefix(job: Job) -> str:
+    """Return the longest prefix of a prompt that other requests share."""
+    if not job.route.is_sticky or len(job.asked.parts) < 2:
+        return ''
+    return job.asked.parts[-2].name
+
+
+def _is_event_stream(job: Job, response: h11.Response) -> bool:
+    return (
+        job.route.kind is routes.Kind.STREAM
+        and response.status_code // 100 == 2
+    )
+
+
+def _deliver(job: Job, answer: Answer) -> None:
+    try:
+        job.inbound.answer(answer.status, answer.headers, answer.content)
+    except OSError as exc:
+        raise channel.CallerGoneError(f'not written: {exc}') from exc
+
+
+def _failed(job: Job, failure: Failure) -> errors.Problem:
+    """Return what the caller is told when the last attempt failed."""
+    is_late = job.left_s() <= 0
+    if job.progress.runs:
+        return errors.Problem(
+            failure.why,
+            504 if is_late else 502,
+            verdict=_MAY_HAVE_RUN.value,
+        )
+    return errors.Problem(failure.why, 503, retry_after_s=_LATE_RETRY_S)
--- a/papayaloom/process/http_front.py
+++ b/papayaloom/process/http_front.py
@@ -5,10 +5,8 @@
 """
 
 import collections
-import contextlib
 import http
 import math
-import socket
 import typing
 
 import msgspec
@@ -17,7 +15,7 @@
 from cheroot import wsgi
 
 from papayaloom import errors
-from papayaloom.connection import caller
+from papayaloom.connection import caller, listening
 from papayaloom.process import arrivals, upstream_io, watch
 from papayaloom.request import arrival, chat, prompt, record, splice
 
@@ -299,10 +297,8 @@
         return environ
 
 
-class Server(wsgi.Server):
-    """Cheroot server with limits on callers."""
-
-    ConnectionClass = caller.Connection
+class Server(listening.LimitedServer, wsgi.Server):
+    """Cheroot server for the application."""
 
     def __init__(
         self,
@@ -320,44 +316,7 @@
             timeout=math.ceil(limits.idle_s),
         )
         self.gateway = Gateway
-        self._waiting: dict[typing.Any, None] = {}
-        self.configure(limits)
-
-    def configure(self, limits: caller.Limits) -> None:
-        """Take new limits; the backlog stays, and threads only grow."""
-        self.limits = limits
-        self.timeout = math.ceil(limits.idle_s)
-        self.max_request_header_size = limits.header_bytes
-        self.max_request_body_size = limits.body_bytes
-        self.keep_alive_conn_limit = limits.idle
-        missing = limits.threads - self.requests.min
-        if self.ready and missing > 0:
-            self.requests.grow(missing)
-            self.requests.min = limits.threads
-
-    def close_idle(self) -> None:
-        """Close each connection after its answer, for a planned stop."""
-        self.keep_alive_conn_limit = 0
-
-    def process_conn(self, conn: typing.Any) -> None:
-        """Give a connection to a worker when its first byte has arrived.
-
-        Cheroot gives a new connection to a worker at once, so idle
-        connections could take all workers.
-        """
-        if conn.awaited:
-            self._waiting.pop(conn, None)
-            super().process_conn(conn)
-            return
-        conn.awaited = True
-        self._waiting[conn] = None
-        if len(self._waiting) > self.limits.idle:
-            oldest = next(iter(self._waiting))
-            self._waiting.pop(oldest)
-            # Ends its wait; closing it here would confuse the selector.
-            with contextlib.suppress(OSError):
-                oldest.socket.shutdown(socket.SHUT_RD)
-        self.put_conn(conn)
+        self.set_up(limits)
 
 
 def _completion(machine: chat.Chat) -> dict[str, object]:
