Copy cached prefixes, doubt removals after outages, shorten host leases

Change: a replica other than the first in rank is told where the prefix is cached (copy_from); the bound of the preference is 2 x mean + 3, the configured cap; host entries have leases of 1.2 s, directory answers 1 s; removals that an outage of the store may have caused are doubted in one place for replicas and hosts (process/lapses.py).

--- a/papayaloom/connection/channel.py
+++ b/papayaloom/connection/channel.py
@@ -94,14 +94,32 @@
         self._unsent = b''.join(part for part in parts if part)
         self._write()
 
-    def receive(self, until: float, caller_fd: int = -1) -> Event:
-        """Return the next part of the answer.
+    def receive_head(self, until: float, caller_fd: int = -1) -> h11.Response:
+        """Return the status and the headers of the answer.
+
+        Raises like :meth:`receive_part`.
+        """
+        event = self._receive(until, caller_fd)
+        if isinstance(event, h11.Response):
+            return event
+        raise self._broken('sent a body without a head')
+
+    def receive_part(self, until: float, caller_fd: int = -1) -> bytes | None:
+        """Return the next part of the answer's body, or None at its end.
 
         :param until: monotonic time at which the wait ends.
         :param caller_fd: connection of the caller, -1 for none.
         :raises papayaloom.errors.UpstreamError: the connection broke, or the
             bytes are no answer.
+        :raises LateError: the time has passed.
+        :raises CallerGoneError: the caller closed its connection.
         """
+        event = self._receive(until, caller_fd)
+        if isinstance(event, h11.Response):
+            raise self._broken('sent a head inside a body')
+        return bytes(event.data) if isinstance(event, h11.Data) else None
+
+    def _receive(self, until: float, caller_fd: int) -> Event:
         while True:
             event = self._next()
             if event is not None:
--- a/papayaloom/platform/headers.py
+++ b/papayaloom/platform/headers.py
@@ -13,6 +13,7 @@
 _RECEIPT = b'papayaloom-response-seal'
 _ORGANISATION = b'Papayaloom-Tenant-Name'
 _REPLICA = b'Papayaloom-Expected-Replica'
+_COPY_FROM = b'Kv-Fetch'
 _PRIORITY = b'Papayaloom-Request-Priority'
 _LOAD = b'papayaloom-replica-load'
 _NOT_RUN = b'papayaloom-not-executed'
@@ -97,6 +98,8 @@
             kept.append((_ORGANISATION, sent.organisation.encode()))
         if sent.last_event_id:
             kept.append((_LAST_EVENT, sent.last_event_id.encode()))
+        if sent.copy_from:
+            kept.append((_COPY_FROM, sent.copy_from.encode()))
         if sent.priority is not None:
             urgency = min(sent.priority, _HIGHEST_PRIORITY)
             kept.append((_PRIORITY, b'%d' % urgency))
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -12,8 +12,8 @@
 METRICS_PORT = 9464
 # The process ends this long before the platform kills it.
 _END_MARGIN_S = 0.45
-_LONGEST_TTL_S = 2.0
-_LEASE_S = 3.0
+_LONGEST_TTL_S = 1.0
+_LEASE_S = 1.2
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -59,7 +59,7 @@
     is_unreachable: bool = False
 
 
-Placed = result.Result[replicas.Replica, errors.Problem]
+Placed = result.Result[spread.Choice, errors.Problem]
 
 
 class Dispatch:
@@ -91,15 +91,18 @@
                     'the retry budget is spent', 503, retry_after_s=_NO_BUDGET_S
                 )
             )
-        names = [one.id for one in ready]
-        loads = self._loads.estimates(names, now)
-        chosen = spread.choose(
-            candidates, loads, wanted.prefix, self._cfg.spreading, self._rng
+        choice = spread.choose(
+            self._offer(wanted, candidates, now),
+            self._loads.estimates([one.id for one in ready], now),
+            wanted.prefix,
+            self._cfg.spreading,
+            self._rng,
         )
-        if ejections.standing(chosen.id, now) is ejection.Standing.TRIAL:
-            ejections.try_out(chosen.id, now)
-        self._loads.started(chosen.id)
-        return result.Ok(chosen)
+        chosen = choice.replica.id
+        if ejections.standing(chosen, now) is ejection.Standing.TRIAL:
+            ejections.try_out(chosen, now)
+        self._loads.started(chosen)
+        return result.Ok(choice)
 
     def ended(self, outcome: Outcome, now: float) -> None:
         """Take the end of an attempt."""
@@ -142,6 +145,22 @@
             'retries_left': self._budgets.dump(now),
         }
 
+    def _offer(
+        self,
+        wanted: Wanted,
+        candidates: list[replicas.Replica],
+        now: float,
+    ) -> spread.Offer:
+        if not wanted.prefix:
+            return spread.Offer(candidates)
+        holders = [
+            one
+            for one in self.replicas.listed(wanted.service)
+            if self._unreachable.get(one.id, 0) <= now
+        ]
+        newcomers = self.replicas.newcomers(wanted.service, now)
+        return spread.Offer(candidates, holders, newcomers)
+
     def _candidates(
         self,
         wanted: Wanted,
--- a/papayaloom/process/fleet_hosts.py
+++ b/papayaloom/process/fleet_hosts.py
@@ -4,6 +4,11 @@
 
 import msgspec
 
+from papayaloom.process import lapses
+
+# Longer than a live host takes to list itself again.
+_GRACE_S = 1.0
+
 
 class Host(msgspec.Struct, frozen=True):
     """A host that serves callers.
@@ -25,19 +30,31 @@
     def __init__(self, me: Host) -> None:
         """Know this host alone."""
         self._me = me
+        self.lapses: lapses.Lapses[str] = lapses.Lapses(_GRACE_S)
         self._others: dict[str, Host] = {}
 
     def update(self, host: Host) -> None:
         """Take a host."""
         self._others[host.name] = host
+        self.lapses.returned(host.name)
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, now: float) -> None:
         """Drop a host whose lease has ended."""
-        self._others.pop(name, None)
+        if name in self._others and not self.lapses.is_doubtful(name, now):
+            self._others.pop(name)
 
-    def replace(self, hosts: typing.Iterable[Host]) -> None:
+    def replace(self, hosts: typing.Iterable[Host], now: float) -> None:
         """Take the whole list."""
-        self._others = {host.name: host for host in hosts}
+        listed = {host.name: host for host in hosts}
+        for host in listed.values():
+            self.update(host)
+        for name in [name for name in self._others if name not in listed]:
+            self.remove(name, now)
+
+    def tick(self, now: float) -> None:
+        """Drop hosts whose entry did not come back."""
+        for name in self.lapses.expired(now):
+            self._others.pop(name, None)
 
     def addresses(self, most: int, *, with_me: bool) -> list[str]:
         """Return the addresses that callers may use.
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -15,7 +15,7 @@
 
 from papayaloom import errors, ids
 from papayaloom.connection import channel, idle_pool, ingress
-from papayaloom.process import dispatch, dispatch_actor, replicas
+from papayaloom.process import dispatch, dispatch_actor, replicas, spread
 from papayaloom.request import events, forwarding, onward
 from papayaloom.version import routes
 
@@ -113,7 +113,7 @@
             step = forwarding.after_failure(
                 job.route, job.progress, failure.verdict, job.left_s()
             )
-            self._log_failure(job, placed.ok_value, failure, step)
+            self._log_failure(job, placed.ok_value.replica, failure, step)
             if step is forwarding.Step.FAIL:
                 return self._give_up(job, _failed(job, failure))
 
@@ -126,11 +126,12 @@
         )
         return self._parts.desk.place(wanted)
 
-    def _attempt(self, job: Job, replica: replicas.Replica) -> Outcome:
+    def _attempt(self, job: Job, choice: spread.Choice) -> Outcome:
+        replica = choice.replica
         job.tried.add(replica.id)
         failure: Failure | None = None
         try:
-            outcome = self._exchange(job, replica)
+            outcome = self._exchange(job, choice)
         except BaseException:
             self._ended(job, replica, Failure(_MAY_HAVE_RUN, 'left'))
             raise
@@ -140,13 +141,14 @@
         self._ended(job, replica, failure)
         return outcome
 
-    def _exchange(self, job: Job, replica: replicas.Replica) -> Outcome:
+    def _exchange(self, job: Job, choice: spread.Choice) -> Outcome:
+        replica = choice.replica
         try:
             conn = self._connect(job, replica)
         except errors.UpstreamError as exc:
             return result.Err(Failure(_NOT_RUN, str(exc), is_unreachable=True))
         try:
-            outcome = self._run(job, replica, conn)
+            outcome = self._run(job, choice, conn)
         except errors.UpstreamError as exc:
             conn.close()
             has_run = exc.verdict is not _NOT_RUN
@@ -170,14 +172,15 @@
         return conn or channel.Channel(replica.address)
 
     def _run(
-        self, job: Job, replica: replicas.Replica, conn: channel.Channel
+        self, job: Job, choice: spread.Choice, conn: channel.Channel
     ) -> Outcome:
-        head = self._head(job, replica)
+        replica = choice.replica
+        head = self._head(job, choice)
         conn.send(head, job.inbound.body)
         wait_s = forwarding.answer_wait_s(job.route, job.progress, job.left_s())
         until = time.monotonic() + wait_s
         while True:
-            response = conn.receive(until, job.inbound.caller_fd)
+            response = conn.receive_head(until, job.inbound.caller_fd)
             marks = self._parts.dialect.read_answer(
                 response.status_code, list(response.headers.raw_items())
             )
@@ -200,15 +203,16 @@
             return self._stream(job, conn, response, until)
         return self._whole(job, conn, response, until)
 
-    def _head(self, job: Job, replica: replicas.Replica) -> channel.Head:
+    def _head(self, job: Job, choice: spread.Choice) -> channel.Head:
         last = job.joiner.last
         sent = onward.Onward(
             left_s=job.left_s(),
-            replica=replica.id,
+            replica=choice.replica.id,
             organisation=job.organisation,
             last_event_id='' if last is None else str(last),
             priority=job.priority,
             body_bytes=len(job.inbound.body),
+            copy_from=_address(choice.source),
         )
         return channel.Head(
             job.inbound.method,
@@ -245,14 +249,14 @@
     def _read_body(
         self, job: Job, conn: channel.Channel, until: float
     ) -> bytes:
-        parts = []
+        parts: list[bytes] = []
         size = 0
         while True:
-            event = conn.receive(until, job.inbound.caller_fd)
-            if isinstance(event, h11.EndOfMessage):
+            part = conn.receive_part(until, job.inbound.caller_fd)
+            if part is None:
                 return b''.join(parts)
-            parts.append(bytes(event.data))
-            size += len(event.data)
+            parts.append(part)
+            size += len(part)
             if size > _MAX_ANSWER_BYTES:
                 raise errors.UpstreamError('answer too long', _MAY_HAVE_RUN)
 
@@ -265,11 +269,11 @@
     ) -> Outcome:
         job.joiner.restart()
         while True:
-            event = conn.receive(until, job.inbound.caller_fd)
-            if isinstance(event, h11.EndOfMessage):
+            part = conn.receive_part(until, job.inbound.caller_fd)
+            if part is None:
                 break
             try:
-                content = job.joiner.feed(bytes(event.data))
+                content = job.joiner.feed(part)
             except errors.CodecError as exc:
                 raise errors.UpstreamError(str(exc), _MAY_HAVE_RUN) from exc
             if content:
@@ -359,6 +363,10 @@
         progress.runs += 1
 
 
+def _address(replica: replicas.Replica | None) -> str:
+    return f'{replica.address[0]}:{replica.address[1]}' if replica else ''
+
+
 def _shared_prefix(job: Job) -> str:
     """Return the longest prefix of a prompt that other requests share."""
     if not job.route.is_sticky or len(job.asked.parts) < 2:
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -68,8 +68,13 @@
 class Outside(typing.Protocol):
     """What the platform speaks, translated."""
 
-    dialect: onward.Dialect
-    keys: Keys
+    @property
+    def dialect(self) -> onward.Dialect:
+        """Translates headers."""
+
+    @property
+    def keys(self) -> Keys:
+        """Keys in the store."""
 
     def tables(self, content: bytes) -> routes.Tables:
         """Read a route table.
@@ -98,8 +103,8 @@
 
     host: fleet_hosts.Host
     addresses: Addresses
-    ttl_s: float = 2
-    lease_s: float = 3
+    ttl_s: float = 1
+    lease_s: float = 1.2
     stop: gateway_stop.Cfg = gateway_stop.Cfg()
     placing: dispatch.Cfg = dispatch.Cfg()
 
@@ -208,18 +213,23 @@
                 keys.hosts,
                 self._hosts_listed,
                 self._host_changed,
-                lambda key: self._hosts.remove(key.removeprefix(keys.hosts)),
+                self._host_removed,
             ),
         )
 
     def _health(self) -> feed.Health:
-        return feed.Health(
-            lambda: self._desk.tell(
-                lambda decisions, now: decisions.replicas.store_answered(now)
-            ),
-            lambda: self._desk.tell(
-                lambda decisions, now: decisions.replicas.store_failed()
-            ),
+        return feed.Health(self._store_answered, self._store_failed)
+
+    def _store_answered(self) -> None:
+        self._hosts.lapses.store_answered(time.monotonic())
+        self._desk.tell(
+            lambda decisions, now: decisions.replicas.lapses.store_answered(now)
+        )
+
+    def _store_failed(self) -> None:
+        self._hosts.lapses.store_failed()
+        self._desk.tell(
+            lambda decisions, _: decisions.replicas.lapses.store_failed()
         )
 
     def _routes_listed(self, entries: list[kv.Entry]) -> None:
@@ -263,7 +273,9 @@
             if (replica := self._outside.replica(entry.key, entry.value))
         ]
 
-        def step(decisions: dispatch.Dispatch, now: float) -> list[str]:
+        def step(
+            decisions: dispatch.Dispatch, now: float
+        ) -> list[replicas.ReplicaId]:
             gone = decisions.replicas.replace(listed, now)
             decisions.forget(gone)
             return gone
@@ -287,7 +299,7 @@
                     state=replica.state.value,
                     born=replica.born,
                 )
-            is_other = decisions.replicas.update(replica)
+            is_other = decisions.replicas.update(replica, now)
             if is_other:
                 decisions.forget([replica.id])
             return is_other
@@ -316,7 +328,13 @@
 
     def _hosts_listed(self, entries: list[kv.Entry]) -> None:
         decoded = [_host(entry.value) for entry in entries]
-        self._hosts.replace(host for host in decoded if host)
+        listed = [host for host in decoded if host]
+        self._hosts.replace(listed, time.monotonic())
+
+    def _host_removed(self, key: str) -> None:
+        name = key.removeprefix(self._outside.keys.hosts)
+        _log.info('gateway: host gone', host=name)
+        self._hosts.remove(name, time.monotonic())
 
     def _host_changed(self, _: str, content: bytes) -> None:
         host = _host(content)
@@ -455,6 +473,7 @@
 
     def _sweep(self) -> None:
         self._pool.sweep()
+        self._hosts.tick(time.monotonic())
 
         def step(decisions: dispatch.Dispatch, now: float) -> None:
             gone = decisions.replicas.tick(now)
--- a/papayaloom/process/presence.py
+++ b/papayaloom/process/presence.py
@@ -8,8 +8,9 @@
 from papayaloom.ports import kv
 
 _log = structlog.get_logger('presence')
-RENEW_S = 0.9
-_RETRY_S = 0.4
+# Renewals within one term, so that a lost one does not end it.
+_RENEWALS = 3.5
+_RETRY_S = 0.25
 
 
 class Presence:
@@ -68,7 +69,7 @@
                 _log.debug('presence: not renewed', reason=str(exc))
                 self._stopping.wait(_RETRY_S)
                 continue
-            self._stopping.wait(RENEW_S)
+            self._stopping.wait(self._term_s / _RENEWALS)
         self._end()
 
     def _end(self) -> None:
--- a/papayaloom/process/replicas.py
+++ b/papayaloom/process/replicas.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from papayaloom import ids
+from papayaloom.process import lapses
 
 ReplicaId = typing.NewType('ReplicaId', str)
 
@@ -42,9 +43,11 @@
     """Bounds on lapsed entries.
 
     :param lapse_s: time after an outage within which lapsed entries return.
+    :param newcomer_s: a replica known for less than that has an empty cache.
     """
 
     lapse_s: float = 2.2
+    newcomer_s: float = 8
 
 
 class Replicas:
@@ -54,27 +57,19 @@
         """Start without replicas and with the store away."""
         self._cfg = cfg
         self._known: dict[ReplicaId, Replica] = {}
-        # Replicas whose entry lapsed in an outage, with the end of the grace.
-        self._missing: dict[ReplicaId, float] = {}
-        self._back_at: float | None = None
+        self._since: dict[ReplicaId, float] = {}
+        self.lapses: lapses.Lapses[ReplicaId] = lapses.Lapses(cfg.lapse_s)
 
-    def store_failed(self) -> None:
-        """Note that the store does not answer."""
-        self._back_at = None
-
-    def store_answered(self, now: float) -> None:
-        """Note an answer of the store."""
-        if self._back_at is None:
-            self._back_at = now
-
-    def update(self, replica: Replica) -> bool:
+    def update(self, replica: Replica, now: float) -> bool:
         """Take an entry.
 
         :returns: whether it is another process than before.
         """
         known = self._known.get(replica.id)
+        if known is None or known.born != replica.born:
+            self._since[replica.id] = now
         self._known[replica.id] = replica
-        self._missing.pop(replica.id, None)
+        self.lapses.returned(replica.id)
         return known is not None and (
             (known.born, known.address) != (replica.born, replica.address)
         )
@@ -87,11 +82,10 @@
         known = self._known.get(replica)
         if known is None:
             return False
-        until = self._grace_end(now)
-        if until is None or known.state is State.DRAINING:
+        is_leaving = known.state is State.DRAINING
+        if is_leaving or not self.lapses.is_doubtful(replica, now):
             self._forget(replica)
             return True
-        self._missing.setdefault(replica, until)
         return False
 
     def replace(
@@ -102,15 +96,13 @@
         :returns: replicas that are gone or are another process now.
         """
         entries = {one.id: one for one in listed}
-        changed = [one.id for one in entries.values() if self.update(one)]
+        changed = [one.id for one in entries.values() if self.update(one, now)]
         absent = [one for one in self._known if one not in entries]
         return changed + [one for one in absent if self.remove(one, now)]
 
     def tick(self, now: float) -> list[ReplicaId]:
         """Drop replicas whose entry did not come back; returns them."""
-        if self._back_at is None:
-            return []
-        gone = [one for one, until in self._missing.items() if now >= until]
+        gone = self.lapses.expired(now)
         for replica in gone:
             self._forget(replica)
         return gone
@@ -123,6 +115,23 @@
             if one.service == service and one.state is State.READY
         ]
 
+    def listed(self, service: ids.ServiceId) -> list[Replica]:
+        """Return all replicas of a service, draining ones included."""
+        return [one for one in self._known.values() if one.service == service]
+
+    def newcomers(self, service: ids.ServiceId, now: float) -> frozenset[str]:
+        """Return the replicas of a service that have just started.
+
+        When all are new, they are as old as this router's own view.
+        """
+        young = frozenset(
+            one.id
+            for one in self.listed(service)
+            if now - self._since[one.id] < self._cfg.newcomer_s
+        )
+        everyone = {one.id for one in self.listed(service)}
+        return frozenset() if young == everyone else young
+
     def find(self, replica: ReplicaId) -> Replica | None:
         """Return a replica, draining ones included."""
         return self._known.get(replica)
@@ -131,13 +140,7 @@
         """Return all replicas."""
         return list(self._known.values())
 
-    def _grace_end(self, now: float) -> float | None:
-        """Return how long a removal is doubted; None if it counts at once."""
-        if self._back_at is None:
-            return now + self._cfg.lapse_s
-        end = self._back_at + self._cfg.lapse_s
-        return end if now < end else None
-
     def _forget(self, replica: ReplicaId) -> None:
         self._known.pop(replica, None)
-        self._missing.pop(replica, None)
+        self._since.pop(replica, None)
+        self.lapses.returned(replica)
--- a/papayaloom/process/spread.py
+++ b/papayaloom/process/spread.py
@@ -24,7 +24,7 @@
     :param report_s: age at which a reported load counts no more.
     """
 
-    factor: float = 1.4
+    factor: float = 2
     slack: float = 3
     report_s: float = 4
 
@@ -95,24 +95,64 @@
         }
 
 
+class Choice(msgspec.Struct, frozen=True):
+    """A replica, and another one that may have the prompt's prefix cached.
+
+    :param source: the replica to copy from; None when there is no use in it.
+    """
+
+    replica: replicas.Replica
+    source: replicas.Replica | None = None
+
+
+class Offer(msgspec.Struct, frozen=True):
+    """Replicas among which a request is placed.
+
+    :param candidates: may get the request; at least one.
+    :param holders: may have its prefix cached, draining replicas included.
+    :param newcomers: too new to have had it.
+    """
+
+    candidates: typing.Sequence[replicas.Replica]
+    holders: typing.Sequence[replicas.Replica] = ()
+    newcomers: frozenset[str] = frozenset()
+
+
 def choose(
-    candidates: typing.Sequence[replicas.Replica],
+    offer: Offer,
     loads: dict[str, float],
     prefix: str,
     cfg: Cfg,
     rng: random.Random,
-) -> replicas.Replica:
+) -> Choice:
     """Return the replica for a request.
 
-    :param candidates: at least one.
     :param prefix: name of the shared prefix, or empty.
     """
-    if prefix:
-        mean = sum(loads[one.id] for one in candidates) / len(candidates)
-        bound = cfg.factor * mean + cfg.slack
-        by_id: dict[str, replicas.Replica] = {one.id: one for one in candidates}
-        for name in hashing.rank(prefix, by_id, len(by_id)):
-            if loads[name] + 1 <= bound:
-                return by_id[name]
+    candidates = offer.candidates
+    if not prefix:
+        return Choice(_least_loaded(candidates, loads, rng))
+    known = {one.id: one for one in (*offer.holders, *candidates)}
+    ranked = [known[name] for name in hashing.rank(prefix, known, len(known))]
+    allowed = {one.id for one in candidates}
+    mean = sum(loads[name] for name in allowed) / len(allowed)
+    bound = cfg.factor * mean + cfg.slack
+    preferred = (
+        one
+        for one in ranked
+        if one.id in allowed and loads[one.id] + 1 <= bound
+    )
+    chosen = next(preferred, None) or _least_loaded(candidates, loads, rng)
+    source = next(
+        (one for one in ranked if one.id not in offer.newcomers), None
+    )
+    return Choice(chosen, None if source is chosen else source)
+
+
+def _least_loaded(
+    candidates: typing.Sequence[replicas.Replica],
+    loads: dict[str, float],
+    rng: random.Random,
+) -> replicas.Replica:
     least = min(loads[one.id] for one in candidates)
     return rng.choice([one for one in candidates if loads[one.id] <= least])
--- a/papayaloom/request/onward.py
+++ b/papayaloom/request/onward.py
@@ -49,6 +49,8 @@
     :param last_event_id: id of the last event that the caller has.
     :param priority: urgency from 0 to 9, 0 first; None leaves the default.
     :param body_bytes: length of the body.
+    :param copy_from: ``IP:PORT`` of a replica that may have the prompt cached;
+        the receiving replica copies what it lacks from there.
     """
 
     left_s: float
@@ -57,6 +59,7 @@
     last_event_id: str = ''
     priority: int | None = None
     body_bytes: int = 0
+    copy_from: str = ''
 
 
 class Load(msgspec.Struct, frozen=True):
