Test the forwarding router's decisions, the adapter and the whole path

Change: features forwarding, spread (hot prefix, newcomers, draining, plain calls, retry budget), lapses, platform (headers, documents, settings, store over HTTP against a stand-in) and gateway (sockets: replicas that refuse, fail, reset, truncate, garble, fall silent, answer twice; streams that break or stall; callers that leave; planned stop; outage at start).

Found by them: a router began with one saved retry, so that the second failure of an idempotent request within seconds was refused ('the retry budget is spent'); the budget now begins with 4 (settings of the budget).

--- /dev/null
+++ b/features/gateway.feature
@@ -0,0 +1,110 @@
+Feature: Requests through the forwarding router, on sockets
+
+  Scenario: An answer comes back as the replica made it
+    Given a forwarding router with a replica that answers "whole"
+    When a caller sends "GET" to "/calls/x?y=1"
+    Then the caller gets 200 with the body "whole body" and the replica's receipt
+    And the replica got "GET" "/calls/x?y=1" for the organisation "geckos" without the key
+
+  Scenario Outline: What no route or key allows is refused, and reaches no replica
+    Given a forwarding router with a replica that answers "whole"
+    When with another key a caller sends "GET" to "<path>" with "<key>"
+    Then the caller gets <status> and no replica got a request
+
+    Examples:
+      | path     | key  | status |
+      | /other/x | k1   | 404    |
+      | /calls/x | k9   | 401    |
+
+  Scenario: A host that knows no route table yet says so, never that the route is missing
+    Given a forwarding router that the store has told nothing
+    When a caller sends "GET" to "/calls/x"
+    Then the caller gets 503 with a time to come back
+
+  Scenario Outline: A replica that fails an idempotent request is followed by another one
+    Given a forwarding router with a replica that answers "<script>"
+    And another replica that answers "whole"
+    When over and over a caller sends "GET" to "/calls/x" 4 times
+    Then each time the caller gets 200 with the body "whole body"
+
+    Examples:
+      | script   |
+      | refuse   |
+      | fail     |
+      | reset    |
+      | truncate |
+      | garbage  |
+      | mute     |
+      | strange  |
+
+  Scenario Outline: A request that must not run twice is sent once, and its fate is told truly
+    Given a forwarding router with a replica that answers "<script>"
+    And another replica that answers "<script>"
+    When a caller sends "POST" to "/orders/x"
+    Then the caller gets <status> and the replicas got <count> requests
+
+    Examples:
+      | script   | status | count |
+      | reset    | 502    | 1     |
+      | truncate | 502    | 1     |
+      | garbage  | 502    | 1     |
+      | mute     | 504    | 1     |
+      | fail     | 500    | 1     |
+      | refuse   | 503    | 2     |
+
+  Scenario: A late answer to another request on the connection is not delivered
+    Given a forwarding router with a replica that answers "doubled"
+    When over and over a caller sends "GET" to "/calls/x" 5 times
+    Then each time the caller gets 200 with its own body
+
+  Scenario: A stream is passed on event by event and ends complete
+    Given a forwarding router with a replica that streams 5 events
+    When a caller asks for the stream "/plain/x"
+    Then the caller gets the events 1 to 5 once each, and the answer is complete
+
+  Scenario: A stream that breaks inside an event goes on elsewhere where that is allowed
+    Given a forwarding router with a replica that streams 5 events
+    And before it a replica that breaks inside event 3
+    When a caller asks for the stream "/resumable/x"
+    Then the caller gets the events 1 to 5 once each, and the answer is complete
+    And the second replica was asked to go on after event 2
+
+  Scenario: A stream that may not go on elsewhere does not look complete when it breaks
+    Given a forwarding router with a replica that breaks inside event 3
+    When a caller asks for the stream "/plain/x"
+    Then the caller gets the events 1 to 2 once each, and the answer is not complete
+
+  Scenario: A stream that falls silent goes on elsewhere
+    Given a forwarding router with a replica that streams 5 events
+    And before it a replica that falls silent after event 2
+    When a caller asks for the stream "/resumable/x"
+    Then the caller gets the events 1 to 5 once each, and the answer is complete
+
+  Scenario: A caller that leaves ends the work at the replica
+    Given a forwarding router with a replica that answers "mute"
+    When impatiently a caller sends "POST" to "/orders/x" and leaves after 0.2 s
+    Then the replica's connection is closed within 0.5 s
+
+  Scenario: A request gets its final answer at its route's timeout
+    Given a forwarding router with a replica that answers "mute"
+    When a caller sends "POST" to "/orders/x"
+    Then the caller gets 504 after 0.8 s to 1.2 s
+
+  Scenario: A planned stop cuts off no request in flight
+    Given a forwarding router with a replica that answers "slow"
+    When before a stop a caller sends "POST" to "/orders/x" and the stop begins after 0.1 s
+    Then the caller gets 200 with the body "whole body" and the end of the connection
+    And the host is not ready and its entry has left the store
+
+  Scenario: A new version of the routes counts at once, an older one never again
+    Given a forwarding router with a replica that answers "whole"
+    When the operator writes version 9 without the route "/calls/"
+    Then within 2 s a caller of "/calls/x" gets 404
+    When the operator writes version 8 with the route "/calls/"
+    Then after 1 s a caller of "/calls/x" gets 404
+
+  Scenario: A host that starts while the store is away learns from its neighbour
+    Given a forwarding router with a replica that answers "whole"
+    And a store that is away
+    And a second forwarding router with the first as its seed
+    Then within 3 s the second one answers "/calls/x" with 200
--- /dev/null
+++ b/features/spread.feature
@@ -0,0 +1,49 @@
+Feature: Which replica gets a request, decided by each router alone
+
+  Scenario: Requests with the same prefix meet on one replica at every router
+    Given 6 replicas of a service and 4 routers that share no word
+    When each router places 3 requests with the prefix "care-7", one at a time
+    Then all of them go to the same replica
+
+  Scenario: A hot prefix spills over before its replica carries twice the mean and three more
+    Given 6 replicas of a service and 1 routers that share no word
+    When 120 requests arrive at once, half of them with the prefix "hot"
+    Then no replica got a request above twice the mean load and 3 more
+    And the overflow was told to copy the prefix from its first replica
+
+  Scenario: A new replica is told where the prefix was cached before it came
+    Given 6 replicas of a service and 1 routers that share no word
+    And 20 s pass
+    When a replica joins that is first in rank for "care-7"
+    And a request with the prefix "care-7" is placed
+    Then it goes to the new replica, which copies from the one before
+    When 10 s pass
+    And a request with the prefix "care-7" is placed
+    Then it goes to the new replica, which copies from nowhere
+
+  Scenario: The prefix of a replica that drains is copied from it while it is there
+    Given 6 replicas of a service and 1 routers that share no word
+    And 20 s pass
+    When the first replica in rank for "care-7" drains
+    And a request with the prefix "care-7" is placed
+    Then it goes to another replica, which copies from the draining one
+
+  Scenario: Plain calls go where the least is running
+    Given 3 replicas of a service and 1 routers that share no word
+    When 30 requests arrive at once, none of them with the prefix "hot"
+    Then each replica got 10
+
+  Scenario: A replica that could not be reached is left alone, unless all are
+    Given 3 replicas of a service and 1 routers that share no word
+    When one replica can't be reached
+    And 30 requests arrive at once, none of them with the prefix "hot"
+    Then that replica got 0
+    When the other replicas can't be reached either
+    Then a request is still placed
+
+  Scenario: Repeats end with the retry budget, first attempts don't
+    Given 3 replicas of a service and 1 routers that share no word
+    When 40 repeats arrive at once
+    Then at most 6 of them were placed
+    And a first attempt is still placed
+    And a refused repeat says when to come back
--- /dev/null
+++ b/features/steps/lapses_steps.py
@@ -0,0 +1,113 @@
+import behave
+
+from papayaloom import ids
+from papayaloom.process import fleet_hosts, replicas
+
+NAME = replicas.ReplicaId('i-1')
+LISTED = replicas.Replica(
+    id=NAME, service=ids.ServiceId('pool'), address=('10.0.0.1', 80), born=1
+)
+
+
+def known(context):
+    return context.replicas.find(NAME) is not None
+
+
+@behave.given(
+    'a listed replica and a store that has answered for {seconds:d} s'
+)
+def listed_replica(context, seconds):
+    context.now = float(seconds)
+    context.replicas = replicas.Replicas(replicas.Cfg())
+    context.lapses = context.replicas.lapses
+    context.lapses.store_answered(0)
+    context.replicas.update(LISTED, 0)
+
+
+@behave.given(
+    'a host beside this one and a store that has answered for {seconds:d} s'
+)
+def host_beside(context, seconds):
+    context.now = float(seconds)
+    context.hosts = fleet_hosts.FleetHosts(fleet_hosts.Host('a', '10.0.0.1:1'))
+    context.lapses = context.hosts.lapses
+    context.lapses.store_answered(0)
+    context.hosts.update(fleet_hosts.Host('b', '10.0.0.2:1'))
+
+
+@behave.when('the store is away for {seconds:d} s and returns')
+def store_away(context, seconds):
+    context.lapses.store_failed()
+    context.now += seconds
+    context.lapses.store_answered(context.now)
+
+
+@behave.when('its entry is removed')
+def entry_removed(context):
+    context.replicas.remove(NAME, context.now)
+
+
+@behave.when("the other host's entry is removed")
+def host_removed(context):
+    context.hosts.remove('b', context.now)
+
+
+@behave.when('a listing without it arrives')
+def listing_without(context):
+    context.replicas.replace([], context.now)
+
+
+@behave.when('its entry says that it drains')
+def entry_drains(context):
+    draining = replicas.Replica(
+        id=NAME,
+        service=LISTED.service,
+        address=LISTED.address,
+        state=replicas.State.DRAINING,
+        born=1,
+    )
+    context.replicas.update(draining, context.now)
+
+
+@behave.when('{seconds:d} s later its entry is back')
+def entry_back(context, seconds):
+    context.now += seconds
+    context.replicas.update(LISTED, context.now)
+
+
+@behave.when('{seconds:d} s pass after that')
+def pass_after(context, seconds):
+    context.now += seconds
+    if hasattr(context, 'replicas'):
+        context.replicas.tick(context.now)
+    else:
+        context.hosts.tick(context.now)
+
+
+@behave.when('its entry comes with another start')
+def another_start(context):
+    other = replicas.Replica(
+        id=NAME, service=LISTED.service, address=LISTED.address, born=2
+    )
+    context.is_other = context.replicas.update(other, context.now)
+
+
+@behave.then('what was known of the process before is dropped')
+def is_other_process(context):
+    assert context.is_other
+
+
+@behave.then('it is gone')
+def is_gone(context):
+    assert not known(context)
+
+
+@behave.then('it still takes work')
+def takes_work(context):
+    assert context.replicas.ready(LISTED.service) == [LISTED]
+
+
+@behave.then('the directory names {count:d} hosts')
+def directory_names(context, count):
+    named = context.hosts.addresses(64, with_me=True)
+    assert len(named) == count, named
--- /dev/null
+++ b/features/steps/spread_steps.py
@@ -0,0 +1,196 @@
+import random
+
+import behave
+import result
+
+from papayaloom import hashing, ids
+from papayaloom.process import dispatch, replicas
+
+SERVICE = ids.ServiceId('pool')
+
+
+def replica(name, state=replicas.State.READY):
+    return replicas.Replica(
+        id=replicas.ReplicaId(name),
+        service=SERVICE,
+        address=('10.0.0.1', int(name.removeprefix('e')) + 8000),
+        state=state,
+        born=1,
+    )
+
+
+def place(context, prefix='', router=0, **wanted):
+    return context.routers[router].place(
+        dispatch.Wanted(SERVICE, prefix, **wanted), context.now
+    )
+
+
+def ranked(context, prefix):
+    return hashing.rank(prefix, context.names, len(context.names))
+
+
+@behave.given(
+    '{count:d} replicas of a service and {routers:d} routers that share no word'
+)
+def fleet(context, count, routers):
+    context.now = 0.0
+    context.names = [f'e{number}' for number in range(count)]
+    context.routers = []
+    for number in range(routers):
+        router = dispatch.Dispatch(dispatch.Cfg(), random.Random(number))
+        router.replicas.lapses.store_answered(-60)
+        router.replicas.replace([replica(name) for name in context.names], 0)
+        context.routers.append(router)
+
+
+@behave.given('{seconds:d} s pass')
+@behave.when('{seconds:d} s pass')
+def time_passes(context, seconds):
+    context.now += seconds
+
+
+@behave.when(
+    'each router places {count:d} requests with the prefix "{prefix}", one at a time'
+)
+def place_each(context, count, prefix):
+    context.placed = []
+    for router in range(len(context.routers)):
+        for _ in range(count):
+            choice = place(context, prefix, router).ok_value
+            context.placed.append(choice.replica.id)
+            context.routers[router].ended(
+                dispatch.Outcome(SERVICE, choice.replica.id, False), context.now
+            )
+
+
+@behave.then('all of them go to the same replica')
+def same_replica(context):
+    assert len(set(context.placed)) == 1, context.placed
+
+
+@behave.when(
+    '{count:d} requests arrive at once, {share} of them with the prefix "{prefix}"'
+)
+def arrive(context, count, share, prefix):
+    context.loads = dict.fromkeys(context.names, 0)
+    context.over = []
+    context.choices = []
+    for number in range(count):
+        is_hot = share == 'half' and number % 2
+        choice = place(context, prefix if is_hot else '').ok_value
+        mean = sum(context.loads.values()) / len(context.names)
+        if context.loads[choice.replica.id] > 2 * mean + 3:
+            context.over.append(choice.replica.id)
+        context.loads[choice.replica.id] += 1
+        if is_hot:
+            context.choices.append(choice)
+
+
+@behave.then('no replica got a request above twice the mean load and 3 more')
+def none_over(context):
+    assert not context.over, context.over
+
+
+@behave.then('the overflow was told to copy the prefix from its first replica')
+def overflow_copies(context):
+    first = ranked(context, 'hot')[0]
+    overflow = [one for one in context.choices if one.replica.id != first]
+    assert overflow
+    assert {one.source.id for one in overflow} == {first}
+    assert all(
+        one.source is None for one in context.choices if one.replica.id == first
+    )
+
+
+@behave.when('a replica joins that is first in rank for "{prefix}"')
+def joins(context, prefix):
+    context.before = ranked(context, prefix)[0]
+    context.joined = next(
+        name
+        for name in (f'e{number}' for number in range(100, 999))
+        if hashing.rank(prefix, [*context.names, name], 1) == [name]
+    )
+    context.names.append(context.joined)
+    context.routers[0].replicas.update(replica(context.joined), context.now)
+
+
+@behave.when('a request with the prefix "{prefix}" is placed')
+def place_one(context, prefix):
+    context.choice = place(context, prefix).ok_value
+
+
+@behave.then('it goes to the new replica, which copies from the one before')
+def copies_from_before(context):
+    assert context.choice.replica.id == context.joined
+    assert context.choice.source.id == context.before
+
+
+@behave.then('it goes to the new replica, which copies from nowhere')
+def copies_from_nowhere(context):
+    assert context.choice.replica.id == context.joined
+    assert context.choice.source is None
+
+
+@behave.when('the first replica in rank for "{prefix}" drains')
+def drains(context, prefix):
+    context.before = ranked(context, prefix)[0]
+    context.routers[0].replicas.update(
+        replica(context.before, replicas.State.DRAINING), context.now
+    )
+
+
+@behave.then('it goes to another replica, which copies from the draining one')
+def copies_from_draining(context):
+    assert context.choice.replica.id != context.before
+    assert context.choice.source.id == context.before
+
+
+@behave.then('each replica got {count:d}')
+def each_got(context, count):
+    assert set(context.loads.values()) == {count}, context.loads
+
+
+@behave.when("one replica can't be reached")
+def one_unreachable(context):
+    context.down = context.names[0]
+    unreachable(context, context.down)
+
+
+@behave.when("the other replicas can't be reached either")
+def all_unreachable(context):
+    for name in context.names:
+        unreachable(context, name)
+
+
+def unreachable(context, name):
+    context.routers[0].ended(
+        dispatch.Outcome(SERVICE, name, None, is_unreachable=True), context.now
+    )
+
+
+@behave.then('that replica got {count:d}')
+def that_got(context, count):
+    assert context.loads[context.down] == count, context.loads
+
+
+@behave.then('a request is still placed')
+@behave.then('a first attempt is still placed')
+def still_placed(context):
+    assert isinstance(place(context), result.Ok)
+
+
+@behave.when('{count:d} repeats arrive at once')
+def repeats(context, count):
+    context.outcomes = [place(context, is_repeat=True) for _ in range(count)]
+
+
+@behave.then('at most {count:d} of them were placed')
+def at_most_placed(context, count):
+    placed = [one for one in context.outcomes if isinstance(one, result.Ok)]
+    assert len(placed) <= count, len(placed)
+
+
+@behave.then('a refused repeat says when to come back')
+def refused_repeat(context):
+    problem = context.outcomes[-1].err_value
+    assert problem.status == 503 and problem.retry_after_s > 0, problem
--- a/papayaloom/process/budgets.py
+++ b/papayaloom/process/budgets.py
@@ -9,11 +9,13 @@
     :param budget_ratio: retries per success.
     :param saved_retries: most retries saved for one upstream.
     :param idle_retries_per_s: refill without successes.
+    :param first_retries: retries saved at the start.
     """
 
     budget_ratio: float = 0.1
     saved_retries: float = 10
     idle_retries_per_s: float = 0.05
+    first_retries: float = 1
 
 
 class Bucket(msgspec.Struct):
@@ -35,10 +37,10 @@
     """
 
     def __init__(self, cfg: Cfg) -> None:
-        """Start with one saved retry per upstream."""
+        """Start with the first retries of the settings."""
         self._cfg = cfg
         self._upstreams: dict[str, Bucket] = {}
-        self._router = Bucket(1, 0)
+        self._router = Bucket(cfg.first_retries, 0)
 
     def configure(self, cfg: Cfg) -> None:
         """Take new limits; saved retries stay."""
@@ -73,7 +75,8 @@
         return shown
 
     def _bucket(self, upstream: str, now: float) -> Bucket:
-        bucket = self._upstreams.setdefault(upstream, Bucket(1, now))
+        first = Bucket(self._cfg.first_retries, now)
+        bucket = self._upstreams.setdefault(upstream, first)
         self._idle(bucket, now)
         return bucket
 
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -28,7 +28,10 @@
         consecutive=4, window=16, base_s=2, longest_s=8
     )
     retries: budgets.Cfg = budgets.Cfg(
-        budget_ratio=0.12, saved_retries=5, idle_retries_per_s=0.3
+        budget_ratio=0.12,
+        saved_retries=5,
+        idle_retries_per_s=0.3,
+        first_retries=4,
     )
 
 
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -92,12 +92,12 @@
         actor = dispatch_actor.DispatchActor.start(
             dispatch.Dispatch(cfg.placing, self._rng), self._clock
         )
-        self._desk = dispatch_actor.Desk(actor)
+        self.desk = dispatch_actor.Desk(actor)
         self._forwarder = forwarder.Forwarder(
-            forwarder.Parts(self._desk, outside.dialect, self._pool, self._rng)
+            forwarder.Parts(self.desk, outside.dialect, self._pool, self._rng)
         )
         self._view = store_view.StoreView(
-            cfg.host, outside, self._desk, self._pool.drop, self._limit
+            cfg.host, outside, self.desk, self._pool.drop, self._limit
         )
         self._feed = feed.Feed(
             store,
@@ -117,19 +117,25 @@
         )
         self._timers = timers.Timers(self._clock)
         self._front = self._listen(cfg.addresses.callers, self._serve, _THREADS)
-        self._servers = [
-            self._front,
-            self._listen(cfg.addresses.readiness, self._side, _SIDE_THREADS),
-            self._listen(cfg.addresses.directory, self._side, _SIDE_THREADS),
-            self._listen(cfg.addresses.control, self._side, _SIDE_THREADS),
-            self._listen(cfg.addresses.metrics, self._side, _SIDE_THREADS),
-        ]
+        sides = cfg.addresses
+        self._servers = {
+            'callers': self._front,
+            'readiness': self._listen_aside(sides.readiness),
+            'directory': self._listen_aside(sides.directory),
+            'control': self._listen_aside(sides.control),
+            'metrics': self._listen_aside(sides.metrics),
+        }
+
+    @property
+    def addresses(self) -> dict[str, tuple[str, int]]:
+        """Addresses that were bound, by what they serve."""
+        return {name: one.bind_addr for name, one in self._servers.items()}
 
     def start(self) -> None:
         """Serve until the planned stop has run to its end."""
         self._feed.start()
         self._presence.start()
-        for one in self._servers:
+        for one in self._servers.values():
             threading.Thread(target=one.serve, daemon=True).start()
         self._timers.every(_SWEEP_S, self._sweep)
         self._timers.every(_GROW_S, self._grow)
@@ -145,6 +151,14 @@
         """Wait for the end of a planned stop."""
         self._stopped.wait()
 
+    def close(self) -> None:
+        """Stop all threads, whatever still runs."""
+        self._feed.stop()
+        self._presence.stop()
+        self._timers.stop()
+        for one in self._servers.values():
+            one.stop()
+
     def begin_stop(self) -> None:
         """Begin a planned stop; a second call changes nothing."""
         if self._stop_begun is not None:
@@ -162,11 +176,14 @@
             'hosts': self._view.hosts.addresses(_MOST_ADDRESSES, with_me=True),
             'stopping': self._stop_begun is not None,
             'tally': self._tally.dump(),
-            'dispatch': self._desk.ask(
+            'dispatch': self.desk.ask(
                 lambda decisions, now: decisions.dump(now)
             ),
         }
 
+    def _listen_aside(self, address: tuple[str, int]) -> ingress.Ingress:
+        return self._listen(address, self._side, _SIDE_THREADS)
+
     def _limit(self, limits: routes.CallerLimits) -> None:
         self._front.configure(
             caller.Limits(
--- /dev/null
+++ b/papayaloom/standins/platform_store.py
@@ -0,0 +1,136 @@
+"""Stand-in of the users' platform store, spoken to over HTTP.
+
+The calls of the platform over the in-memory key-value service, whose fault
+switches it keeps.
+"""
+
+import base64
+import http
+import typing
+import urllib.parse
+
+import msgspec
+
+from papayaloom import errors
+from papayaloom.connection import caller, ingress
+from papayaloom.ports import kv
+
+_LEASE = 'lease-'
+_THREADS = 24
+_Query = dict[str, str]
+_Reply = tuple[int, dict[str, typing.Any]]
+
+
+class PlatformStore:
+    """HTTP server around a key-value service.
+
+    :param store: the service.
+    """
+
+    def __init__(self, store: kv.Kv, address: tuple[str, int]) -> None:
+        """Bind the address; ``server.serve`` serves."""
+        self._store = store
+        self.calls: list[str] = []
+        self.server = ingress.Ingress(
+            address, self._serve, caller.Limits(threads=_THREADS)
+        )
+        self.server.prepare()
+
+    def _serve(self, received: typing.Any) -> None:
+        inbound = ingress.Inbound(received)
+        parts = urllib.parse.urlsplit(inbound.target.decode())
+        self.calls.append(parts.path)
+        query = dict(urllib.parse.parse_qsl(parts.query))
+        try:
+            status, content = self._reply(parts.path, query, inbound.body)
+        except errors.StoreUnavailableError:
+            status, content = http.HTTPStatus.SERVICE_UNAVAILABLE, {}
+        inbound.answer(status, [], msgspec.json.encode(content))
+
+    def _reply(self, path: str, query: _Query, body: bytes) -> _Reply:
+        name, _, argument = path.removeprefix('/kv-').partition('/')
+        calls: dict[str, typing.Callable[[], _Reply]] = {
+            'key': lambda: self._key(query),
+            'range': lambda: self._range(query),
+            'watch': lambda: self._watch(query),
+            'txn': lambda: self._transact(msgspec.json.decode(body)),
+            'lease': lambda: self._grant(msgspec.json.decode(body)),
+            'keep': lambda: self._keep(argument),
+            'lease-end': lambda: self._end(argument),
+        }
+        return calls[name]()
+
+    def _key(self, query: _Query) -> _Reply:
+        entry = self._store.get(query['key'])
+        if entry is None:
+            return http.HTTPStatus.NOT_FOUND, {}
+        return http.HTTPStatus.OK, _item(entry)
+
+    def _range(self, query: _Query) -> _Reply:
+        page = self._store.list_prefix(query['prefix'], query.get('after', ''))
+        return http.HTTPStatus.OK, {
+            'items': [_item(entry) for entry in page.entries],
+            'morePages': page.more,
+            'asOf': page.revision,
+        }
+
+    def _watch(self, query: _Query) -> _Reply:
+        seen = self._store.watch(
+            query.get('prefix', ''),
+            int(query['after']),
+            int(query['waitMs']) / 1000,
+        )
+        if seen.lost:
+            return http.HTTPStatus.GONE, {}
+        return http.HTTPStatus.OK, {
+            'events': [_event(event) for event in seen.events],
+            'asOf': seen.revision,
+        }
+
+    def _transact(self, change: dict[str, typing.Any]) -> _Reply:
+        expected = {
+            one['key']: one['revision'] for one in change['expectedRev']
+        }
+        written = kv.Written(done=True)
+        for put in change['puts']:
+            lease = f'{_LEASE}{put["lease"]}' if put.get('lease') else ''
+            content = base64.b64decode(put['value'])
+            written = self._store.put(
+                put['key'], content, expected[put['key']], lease
+            )
+        for key in change['remove']:
+            written = self._store.delete(key, expected[key])
+        if written.done:
+            return http.HTTPStatus.OK, {'revision': written.revision}
+        items = [_item(written.current)] if written.current else []
+        return http.HTTPStatus.PRECONDITION_FAILED, {'items': items}
+
+    def _grant(self, term: dict[str, int]) -> _Reply:
+        lease = self._store.grant_lease(term['ttlMs'] / 1000)
+        number = int(lease.id.removeprefix(_LEASE))
+        return http.HTTPStatus.OK, {'lease': number, 'ttlMs': term['ttlMs']}
+
+    def _keep(self, number: str) -> _Reply:
+        if self._store.keep_lease(f'{_LEASE}{number}'):
+            return http.HTTPStatus.OK, {'ttlMs': 0}
+        return http.HTTPStatus.NOT_FOUND, {}
+
+    def _end(self, number: str) -> _Reply:
+        self._store.revoke_lease(f'{_LEASE}{number}')
+        return http.HTTPStatus.OK, {}
+
+
+def _item(entry: kv.Entry) -> dict[str, typing.Any]:
+    lease = entry.lease.removeprefix(_LEASE)
+    return {
+        'key': entry.key,
+        'value': base64.b64encode(entry.value).decode(),
+        'revision': entry.revision,
+        'lease': int(lease) if lease else 0,
+    }
+
+
+def _event(event: kv.Event) -> dict[str, typing.Any]:
+    if event.deleted:
+        return {'key': event.key, 'revision': event.revision, 'removed': True}
+    return _item(kv.Entry(event.key, event.value, event.revision))
