Log each decision without blocking, and size budgets and watches by the fleet

Change: bounded log with a writer thread; lines for each placement and each end; the retry budget is the host's share of the declared slack; watches pause longer in larger fleets; a prefix has two homes above 12 hosts.

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -47,3 +47,9 @@
     Then at most 6 of them were placed
     And a first attempt is still placed
     And a refused repeat says when to come back
+
+  Scenario: In a large fleet a prefix has two replicas, since each router sees a sliver
+    Given a fleet of 84 routers, each with 12 replicas
+    When each router gets a request with the prefix "care-7"
+    Then its first two replicas in rank share them, and the second copies from the first
+    And all routers together save at most half of the slack of 208 repeats
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -37,7 +37,9 @@
     context.names = [f'e{number}' for number in range(count)]
     context.routers = []
     for number in range(routers):
-        router = dispatch.Dispatch(dispatch.Cfg(), random.Random(number))
+        router = dispatch.Dispatch(
+            dispatch.Cfg(), random.Random(number), f'r{number}', hosts=6
+        )
         router.replicas.lapses.store_answered(-60)
         router.replicas.replace([replica(name) for name in context.names], 0)
         context.routers.append(router)
@@ -194,3 +196,45 @@
 def refused_repeat(context):
     problem = context.outcomes[-1].err_value
     assert problem.status == 503 and problem.retry_after_s > 0, problem
+
+
+@behave.given(
+    'a fleet of {count:d} routers, each with {replicas_count:d} replicas'
+)
+def large_fleet(context, count, replicas_count):
+    fleet(context, replicas_count, count)
+    for number, router in enumerate(context.routers):
+        router.resize(count)
+
+
+@behave.when('each router gets a request with the prefix "{prefix}"')
+def each_router_one(context, prefix):
+    context.choices = [
+        place(context, prefix, number).ok_value
+        for number in range(len(context.routers))
+    ]
+
+
+@behave.then(
+    'its first two replicas in rank share them, and the second copies from the first'
+)
+def two_homes(context):
+    homes = ranked(context, 'care-7')[:2]
+    got = [one.replica.id for one in context.choices]
+    assert set(got) == set(homes), got
+    assert 0.3 < got.count(homes[0]) / len(got) < 0.7, got
+    sources = {
+        one.source.id for one in context.choices if one.replica.id == homes[1]
+    }
+    assert sources == {homes[0]}, sources
+
+
+@behave.then(
+    'all routers together save at most half of the slack of {slack:d} repeats'
+)
+def share_of_slack(context, slack):
+    hosts = len(context.routers)
+    share = dispatch.RepeatBound(slack=slack).share(hosts)
+    saved = share.saved_retries + share.idle_retries_per_s * 10
+    assert saved * hosts <= slack, saved * hosts
+    assert share.first_retries * hosts <= slack / 2
--- a/papayaloom/commands/logs.py
+++ b/papayaloom/commands/logs.py
@@ -4,13 +4,16 @@
 import logging
 import signal
 import sys
+import typing
 
 import structlog
 
 
-def configure() -> None:
+def configure(stream: typing.Any = sys.stderr) -> None:
     """Write one JSON object a line, with time, level and short sentence.
 
+    :param stream: where the lines go.
+
     SIGUSR1 prints the stacks of all threads, for a process that hangs.
     """
     faulthandler.register(signal.SIGUSR1)
@@ -22,5 +25,5 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream),
     )
--- a/papayaloom/platform/main.py
+++ b/papayaloom/platform/main.py
@@ -10,11 +10,13 @@
 import sys
 
 from papayaloom import errors
-from papayaloom.commands import logs
+from papayaloom.commands import bounded_log, logs
 from papayaloom.platform import documents, headers, settings, store
 from papayaloom.process import gateway, store_view
 
 
+# Time for the last lines of the log to be written.
+_LAST_LINES_S = 0.1
 _OUTSIDE = store_view.Outside(
     dialect=headers.PlatformDialect(),
     keys=documents.KEYS,
@@ -27,7 +29,8 @@
 
 def main() -> None:
     """Run the process until it is told to stop."""
-    logs.configure()
+    output = bounded_log.BoundedLog(sys.stdout)
+    logs.configure(output)
     try:
         cfg = settings.load(settings.path_of_process())
         process = gateway.Gateway(
@@ -44,7 +47,6 @@
     gc.enable()
     process.start()
     process.wait()
-    sys.stdout.flush()
-    sys.stderr.flush()
+    output.drain(_LAST_LINES_S)
     # Threads of open connections would keep a normal exit waiting.
     os._exit(0)
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -6,7 +6,13 @@
 
 from papayaloom import errors
 from papayaloom.platform import documents
-from papayaloom.process import fleet_hosts, gateway, gateway_stop
+from papayaloom.process import (
+    dispatch,
+    fleet_hosts,
+    gateway,
+    gateway_stop,
+    spread,
+)
 
 PATH_VARIABLE = 'PAPAYALOOM_SETTINGS'
 METRICS_PORT = 9464
@@ -88,6 +94,12 @@
             ttl_s=min(ttl_s, _LONGEST_TTL_S),
             lease_s=max(term_s, _LEASE_S),
             stop=gateway_stop.Cfg(longest_s=grace_s - _END_MARGIN_S),
+            placing=dispatch.Cfg(
+                spreading=spread.Cfg(
+                    factor=_number(fields, 'bounds.capFactor', 2)
+                ),
+                repeats=_repeats(fields),
+            ),
         ),
     )
 
@@ -106,6 +118,15 @@
         raise errors.SettingsError(f'settings field {name}: {exc}') from exc
 
 
+def _repeats(fields: dict[str, str]) -> dispatch.RepeatBound:
+    usual = dispatch.RepeatBound()
+    return dispatch.RepeatBound(
+        ratio=_number(fields, 'bounds.budgetRatio', usual.ratio),
+        slack=_number(fields, 'bounds.budgetSlack', usual.slack),
+        window_s=_number(fields, 'bounds.budgetWindowS', usual.window_s),
+    )
+
+
 def _seeds(fields: dict[str, str]) -> tuple[tuple[str, int], ...]:
     own = fields.get('listen.control', '')
     texts = [one.strip() for one in fields.get('seeds', '').split(',')]
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -9,16 +9,48 @@
 import msgspec
 import result
 
-from papayaloom import errors, ids
+from papayaloom import errors, hashing, ids
 from papayaloom.process import budgets, ejection, replicas, spread
 from papayaloom.request import onward
 
 # A replica that could not be reached gets no new work for this long.
 _UNREACHABLE_S = 2.0
 _NONE_READY_S = 0.5
+_SAVED_SHARE = 0.5
+_IDLE_SHARE = 0.35
+_RATIO_SHARE = 0.6
+# A router of a larger fleet sees too little traffic to notice by itself that
+# a replica gets too much, so each prefix has two replicas there.
+_ONE_HOME_HOSTS = 12
 _NO_BUDGET_S = 1.0
 
 
+class RepeatBound(msgspec.Struct, frozen=True):
+    """Bound on repeats of all routers together, for each service.
+
+    In every window, repeats may be ``ratio`` x the requests + ``slack``.
+    """
+
+    ratio: float = 0.2
+    slack: float = 52
+    window_s: float = 10
+
+    def share(self, hosts: int) -> budgets.Cfg:
+        """Return the budget of one of so many routers.
+
+        Saved and refilled retries may fall into one window, and a router that
+        restarts saves anew, so their sum stays under the slack.
+        """
+        slack = self.slack / max(hosts, 1)
+        saved = max(slack * _SAVED_SHARE, 1)
+        return budgets.Cfg(
+            budget_ratio=self.ratio * _RATIO_SHARE,
+            saved_retries=saved,
+            idle_retries_per_s=slack * _IDLE_SHARE / self.window_s,
+            first_retries=saved,
+        )
+
+
 class Cfg(msgspec.Struct, frozen=True):
     """Settings of the parts."""
 
@@ -27,12 +59,7 @@
     ejecting: ejection.Cfg = ejection.Cfg(
         consecutive=4, window=16, base_s=2, longest_s=8
     )
-    retries: budgets.Cfg = budgets.Cfg(
-        budget_ratio=0.12,
-        saved_retries=5,
-        idle_retries_per_s=0.3,
-        first_retries=4,
-    )
+    repeats: RepeatBound = RepeatBound()
 
 
 class Wanted(msgspec.Struct, frozen=True):
@@ -68,16 +95,30 @@
 class Dispatch:
     """Placement of requests at the replicas of all services."""
 
-    def __init__(self, cfg: Cfg, rng: random.Random) -> None:
-        """Start without replicas."""
+    def __init__(
+        self, cfg: Cfg, rng: random.Random, me: str = '', hosts: int = 1
+    ) -> None:
+        """Start without replicas.
+
+        :param me: name of this router.
+        :param hosts: number of routers of the fleet.
+        """
         self.replicas = replicas.Replicas(cfg.lapses)
         self._cfg = cfg
         self._rng = rng
         self._loads = spread.Loads(cfg.spreading)
-        self._budgets = budgets.Budgets(cfg.retries)
+        self._me = me
+        self._hosts = hosts
+        self._budgets = budgets.Budgets(cfg.repeats.share(hosts))
         self._ejections: dict[ids.ServiceId, ejection.Ejection] = {}
         self._unreachable: dict[str, float] = {}
 
+    def resize(self, hosts: int) -> None:
+        """Take the number of routers of the fleet."""
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._budgets.configure(self._cfg.repeats.share(hosts))
+
     def place(self, wanted: Wanted, now: float) -> Placed:
         """Return the replica for an attempt, and count it there."""
         ready = self.replicas.ready(wanted.service)
@@ -162,7 +203,11 @@
             if self._unreachable.get(one.id, 0) <= now
         ]
         newcomers = self.replicas.newcomers(wanted.service, now)
-        return spread.Offer(candidates, holders, newcomers)
+        is_second = (
+            self._hosts > _ONE_HOME_HOSTS
+            and hashing.weight(wanted.prefix, self._me) % 2 == 1
+        )
+        return spread.Offer(candidates, holders, newcomers, is_second)
 
     def _candidates(
         self,
--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -16,7 +16,10 @@
 
 _log = structlog.get_logger('feed')
 WATCH_WAIT_S = 1.0
-PAUSE_S = 0.35
+# All hosts together make about this many watch calls a second.
+_FLEET_CALLS_PER_S = 60
+_SHORTEST_PAUSE_S = 0.35
+_LONGEST_PAUSE_S = 1.2
 _RETRY_S = 0.25
 _PAGE = 500
 
@@ -39,11 +42,13 @@
     """Who is told whether the store answers.
 
     :param catch_up: asks the other hosts while nothing was listed yet.
+    :param hosts: returns the size of the fleet.
     """
 
     answered: typing.Callable[[], object]
     failed: typing.Callable[[], object]
     catch_up: typing.Callable[[], object]
+    hosts: typing.Callable[[], int]
 
 
 class Feed:
@@ -107,7 +112,7 @@
                 continue
             self._answered()
             if self._revision is not None:
-                self._stopping.wait(PAUSE_S)
+                self._stopping.wait(pause_s(self._health.hosts()))
 
     def _answered(self) -> None:
         if self._is_lost:
@@ -148,3 +153,9 @@
                 source.remove(event.key)
             else:
                 source.update(event.key, event.value)
+
+
+def pause_s(hosts: int) -> float:
+    """Return the pause between two watches of a host of a fleet."""
+    wanted = hosts / _FLEET_CALLS_PER_S
+    return min(max(wanted, _SHORTEST_PAUSE_S), _LONGEST_PAUSE_S)
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -39,6 +39,7 @@
     """A request that is being forwarded.
 
     :param deadline: monotonic time at which the caller gets a final answer.
+    :param version: version of the route table that judges it.
     :param failed: a replica's own failure, kept in case no other does better.
     :param joiner: events so far; nothing for a plain call.
     """
@@ -51,6 +52,7 @@
     priority: int | None
     deadline: float
     joiner: events.Joiner
+    version: int = 0
     progress: forwarding.Progress = msgspec.field(
         default_factory=forwarding.Progress
     )
@@ -106,6 +108,7 @@
             placed = self._place(job)
             if isinstance(placed, result.Err):
                 return self._give_up(job, placed.err_value)
+            self._log_placed(job, placed.ok_value)
             outcome = self._attempt(job, placed.ok_value)
             if isinstance(outcome, result.Ok):
                 return outcome.ok_value
@@ -335,6 +338,20 @@
             )
         raise errors.RefusedError(problem)
 
+    def _log_placed(self, job: Job, choice: spread.Choice) -> None:
+        _log.info(
+            'forward: placed',
+            request=job.asked.request_id,
+            route=job.route.name,
+            version=job.version,
+            replica=choice.replica.id,
+            load=round(choice.load, 1),
+            mean=round(choice.mean, 1),
+            copy_from=choice.source.id if choice.source else '',
+            tried=len(job.tried),
+            left_s=round(job.left_s(), 3),
+        )
+
     def _log_failure(
         self,
         job: Job,
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -42,6 +42,8 @@
 # Idle callers reuse a connection for most of the declared time.
 _IDLE_MARGIN_S = 10
 _MOST_ADDRESSES = 64
+# Size of the fleet that is assumed until the hosts are listed.
+_FIRST_HOSTS = 6
 # Statuses for the log and the counters alone; no caller gets them.
 _CALLER_GONE = 499
 _BROKEN_OFF = 599
@@ -90,7 +92,10 @@
         self._tally = tallies.Tallies()
         self._pool = idle_pool.IdlePool()
         actor = dispatch_actor.DispatchActor.start(
-            dispatch.Dispatch(cfg.placing, self._rng), self._clock
+            dispatch.Dispatch(
+                cfg.placing, self._rng, cfg.host.name, _FIRST_HOSTS
+            ),
+            self._clock,
         )
         self.desk = dispatch_actor.Desk(actor)
         self._forwarder = forwarder.Forwarder(
@@ -106,6 +111,7 @@
                 self._view.store_answered,
                 self._view.store_failed,
                 catch_up.Seeds(cfg.seeds, self._view).ask,
+                self._view.hosts.count,
             ),
             self._rng,
         )
@@ -219,15 +225,14 @@
         with self._tally.running_one():
             status, why = self._answer(received)
         self._tally.ended(status, time.monotonic() - begun)
-        if status >= 400:
-            _log.info(
-                'gateway: request ended',
-                request=self._outside.dialect.request_id(received.inheaders),
-                status=status,
-                why=why,
-                seconds=round(time.monotonic() - begun, 3),
-                version=self._view.version,
-            )
+        _log.info(
+            'gateway: request ended',
+            request=self._outside.dialect.request_id(received.inheaders),
+            status=status,
+            why=why,
+            seconds=round(time.monotonic() - begun, 3),
+            version=self._view.version,
+        )
 
     def _answer(self, received: typing.Any) -> tuple[int, str]:
         inbound: ingress.Inbound | None = None
@@ -275,6 +280,7 @@
             route=route,
             service=routes.pick_target(route, self._rng.random()),
             organisation=organisation,
+            version=table.version,
             priority=None,
             deadline=inbound.arrived_at + wait_s,
             joiner=events.Joiner(int(last) if last.isdigit() else None),
--- a/papayaloom/process/spread.py
+++ b/papayaloom/process/spread.py
@@ -99,10 +99,14 @@
     """A replica, and another one that may have the prompt's prefix cached.
 
     :param source: the replica to copy from; None when there is no use in it.
+    :param load: estimated requests at the replica.
+    :param mean: mean of the estimates over the candidates.
     """
 
     replica: replicas.Replica
     source: replicas.Replica | None = None
+    load: float = 0
+    mean: float = 0
 
 
 class Offer(msgspec.Struct, frozen=True):
@@ -111,11 +115,13 @@
     :param candidates: may get the request; at least one.
     :param holders: may have its prefix cached, draining replicas included.
     :param newcomers: too new to have had it.
+    :param is_second: this router prefers the second replica in rank.
     """
 
     candidates: typing.Sequence[replicas.Replica]
     holders: typing.Sequence[replicas.Replica] = ()
     newcomers: frozenset[str] = frozenset()
+    is_second: bool = False
 
 
 def choose(
@@ -130,23 +136,43 @@
     :param prefix: name of the shared prefix, or empty.
     """
     candidates = offer.candidates
+    mean = sum(loads[one.id] for one in candidates) / len(candidates)
     if not prefix:
-        return Choice(_least_loaded(candidates, loads, rng))
-    known = {one.id: one for one in (*offer.holders, *candidates)}
-    ranked = [known[name] for name in hashing.rank(prefix, known, len(known))]
-    allowed = {one.id for one in candidates}
-    mean = sum(loads[name] for name in allowed) / len(allowed)
+        least = _least_loaded(candidates, loads, rng)
+        return Choice(least, None, loads[least.id], mean)
+    ranked = _ranked(offer, prefix)
     bound = cfg.factor * mean + cfg.slack
-    preferred = (
-        one
-        for one in ranked
-        if one.id in allowed and loads[one.id] + 1 <= bound
-    )
-    chosen = next(preferred, None) or _least_loaded(candidates, loads, rng)
+    preferred = _preferred(offer, ranked, loads, bound)
+    chosen = preferred or _least_loaded(candidates, loads, rng)
     source = next(
         (one for one in ranked if one.id not in offer.newcomers), None
     )
-    return Choice(chosen, None if source is chosen else source)
+    if source is chosen:
+        source = None
+    return Choice(chosen, source, loads[chosen.id], mean)
+
+
+def _ranked(offer: Offer, prefix: str) -> list[replicas.Replica]:
+    known = {one.id: one for one in (*offer.holders, *offer.candidates)}
+    return [known[name] for name in hashing.rank(prefix, known, len(known))]
+
+
+def _preferred(
+    offer: Offer,
+    ranked: list[replicas.Replica],
+    loads: dict[str, float],
+    bound: float,
+) -> replicas.Replica | None:
+    """Return the first in rank that stays within the bound."""
+    allowed = {one.id for one in offer.candidates}
+    within = [
+        one
+        for one in ranked
+        if one.id in allowed and loads[one.id] + 1 <= bound
+    ]
+    if offer.is_second and len(within) > 1:
+        return within[1]
+    return within[0] if within else None
 
 
 def _least_loaded(
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -125,8 +125,10 @@
     def tick(self) -> None:
         """Drop entries that did not come back after an outage."""
         self.hosts.tick(time.monotonic())
+        hosts = self.hosts.count()
 
         def step(decisions: dispatch.Dispatch, now: float) -> None:
+            decisions.resize(hosts)
             gone = decisions.replicas.tick(now)
             decisions.forget(gone)
             self._close(gone)
