--- a/papayaloom/commands/bounded_log.py
+++ b/papayaloom/commands/bounded_log.py
@@ -12,7 +12,7 @@
 MOST_WAITING = 2000
 MOST_LINES_PER_S = 300
 _REPORT_S = 5.0
-_DROPPED = '{"event": "log: lines dropped", "sum": %d}\n'
+_DROPPED = '{{"event": "log: lines dropped", "sum": {0}}}\n'
 
 
 class BoundedLog:
