Relay hosts watch the store for a large fleet, and a fault soak of real processes

Change: above 12 hosts, three hosts by rendezvous watch the store; the others ask one of them every 0.35 s, report their running requests and get changes and the fleet's sums (process/relay.py decides, relay_watch.py asks). Without a relay that answers, a host watches the store itself.

--- /dev/null
+++ b/features/relay.feature
@@ -0,0 +1,43 @@
+Feature: A few hosts of a large fleet watch the store for the others
+
+  Scenario: A host gets what changed since, without heartbeats that say nothing new
+    Given a relay that watches from revision 10
+    When the store changes "servers/a" to "x 1" at 11, to "x 2" at 12 and to "y 3" at 13
+    Then a host at revision 10 gets the changes 11, 13 and goes on from 13
+    And a host at revision 11 gets the changes 13 and goes on from 13
+    And a host at revision 13 gets no changes and goes on from 13
+
+  Scenario: A host that is behind what the relay has kept lists the store again
+    Given a relay that watches from revision 10
+    When the store changes "servers/a" to "x 1" at 11, to "x 2" at 12 and to "y 3" at 13
+    Then a host at revision 9 is told that changes are missing
+
+  Scenario: A relay whose own history was lost does not hide the gap
+    Given a relay that watches from revision 10
+    When the store changes "servers/a" to "x 1" at 11, to "x 2" at 12 and to "y 3" at 13
+    And the relay lists the store again and goes on from 20
+    Then a host at revision 13 is told that changes are missing
+
+  Scenario: A relay that the store does not answer says so
+    Given a relay that watches from revision 10
+    When 3 s pass at the relay without an answer of the store
+    Then a host at revision 10 is sent away
+
+  Scenario: Loads of all hosts are added, and those of hosts that fell silent expire
+    Given a relay that watches from revision 10
+    When the hosts report
+      | host | role  | loads |
+      | h1   | host  | a=2   |
+      | h2   | host  | a=1   |
+      | r2   | relay | a=4   |
+    Then with 1 of its own the relay's total for "a" is 8 and its subtotal 4
+    When 3 s pass at the relay without an answer of the store
+    Then with 1 of its own the relay's total for "a" is 1 and its subtotal 1
+
+  Scenario: Hosts of a large fleet follow a relay, and the store when no relay answers
+    Given 13 listed hosts, of which one runs as the only relay
+    When a host that is no relay watches
+    Then it gets its changes from the relay, and the store was asked nothing
+    When the relay's process ends
+    And a host that is no relay watches
+    Then it gets its changes from the store
--- a/features/spread.feature
+++ b/features/spread.feature
@@ -48,8 +48,12 @@
     And a first attempt is still placed
     And a refused repeat says when to come back
 
-  Scenario: In a large fleet a prefix has two replicas, since each router sees a sliver
+  Scenario: The retry budgets of a large fleet add up to less than the slack
     Given a fleet of 84 routers, each with 12 replicas
-    When each router gets a request with the prefix "care-7"
-    Then its first two replicas in rank share them, and the second copies from the first
-    And all routers together save at most half of the slack of 208 repeats
+    Then all routers together save at most half of the slack of 208 repeats
+
+  Scenario: A router that sees a sliver of the traffic keeps away from what others have filled
+    Given a fleet of 84 routers, each with 12 replicas
+    When the fleet runs 9 at the first replica for "care-7" and 1 at each other
+    And a request with the prefix "care-7" is placed
+    Then it goes to the second replica in rank, which copies from the first
--- a/papayaloom/commands/bounded_log.py
+++ b/papayaloom/commands/bounded_log.py
@@ -80,9 +80,7 @@
                 line = ''
             if self.dropped > reported:
                 reported = self.dropped
-                line += (
-                    f'{{"event": "log: lines dropped", "sum": {reported}}}\n'
-                )
+                self._write(_DROPPED.format(reported))
             if line:
                 self._write(line)
 
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -82,6 +82,7 @@
                 _text(fields, 'nodeName'),
                 _text(fields, 'listen.front'),
                 fields.get('zone', ''),
+                _text(fields, 'listen.control'),
             ),
             addresses=gateway.Addresses(
                 callers=callers,
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -9,7 +9,7 @@
 import msgspec
 import result
 
-from papayaloom import errors, hashing, ids
+from papayaloom import errors, ids
 from papayaloom.process import budgets, ejection, replicas, spread
 from papayaloom.request import onward
 
@@ -19,9 +19,6 @@
 _SAVED_SHARE = 0.5
 _IDLE_SHARE = 0.35
 _RATIO_SHARE = 0.6
-# A router of a larger fleet sees too little traffic to notice by itself that
-# a replica gets too much, so each prefix has two replicas there.
-_ONE_HOME_HOSTS = 12
 _NO_BUDGET_S = 1.0
 
 
@@ -95,19 +92,15 @@
 class Dispatch:
     """Placement of requests at the replicas of all services."""
 
-    def __init__(
-        self, cfg: Cfg, rng: random.Random, me: str = '', hosts: int = 1
-    ) -> None:
+    def __init__(self, cfg: Cfg, rng: random.Random, hosts: int = 1) -> None:
         """Start without replicas.
 
-        :param me: name of this router.
         :param hosts: number of routers of the fleet.
         """
         self.replicas = replicas.Replicas(cfg.lapses)
         self._cfg = cfg
         self._rng = rng
         self._loads = spread.Loads(cfg.spreading)
-        self._me = me
         self._hosts = hosts
         self._budgets = budgets.Budgets(cfg.repeats.share(hosts))
         self._ejections: dict[ids.ServiceId, ejection.Ejection] = {}
@@ -168,6 +161,15 @@
         """Take the load that a replica states."""
         self._loads.reported(replica, load, now)
 
+    def own_loads(self) -> dict[str, int]:
+        """Return the running requests of this router, by replica."""
+        return self._loads.own()
+
+    def share_loads(self, totals: dict[str, int], now: float) -> None:
+        """Take the running requests of all routers, by replica."""
+        names = [one.id for one in self.replicas.dump()]
+        self._loads.shared(names, totals, now)
+
     def forget(self, gone: typing.Iterable[replicas.ReplicaId]) -> None:
         """Drop what is known of replicas that are gone or started anew."""
         for replica in gone:
@@ -203,11 +205,7 @@
             if self._unreachable.get(one.id, 0) <= now
         ]
         newcomers = self.replicas.newcomers(wanted.service, now)
-        is_second = (
-            self._hosts > _ONE_HOME_HOSTS
-            and hashing.weight(wanted.prefix, self._me) % 2 == 1
-        )
-        return spread.Offer(candidates, holders, newcomers, is_second)
+        return spread.Offer(candidates, holders, newcomers)
 
     def _candidates(
         self,
--- a/papayaloom/process/dispatch_actor.py
+++ b/papayaloom/process/dispatch_actor.py
@@ -62,6 +62,14 @@
         """Tell the load that a replica states."""
         self.tell(lambda decisions, now: decisions.reported(replica, load, now))
 
+    def own_loads(self) -> dict[str, int]:
+        """Return the running requests of this router, by replica."""
+        return self.ask(lambda decisions, _: decisions.own_loads())
+
+    def share_loads(self, totals: dict[str, int]) -> None:
+        """Tell the running requests of all routers, by replica."""
+        self.tell(lambda decisions, now: decisions.share_loads(totals, now))
+
     def ask(self, step: Step) -> typing.Any:
         """Run a step and return its value."""
         return self._actor.ask(Run(step), timeout=_ASK_S)
--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -15,11 +15,7 @@
 from papayaloom.ports import kv
 
 _log = structlog.get_logger('feed')
-WATCH_WAIT_S = 1.0
-# All hosts together make about this many watch calls a second.
-_FLEET_CALLS_PER_S = 60
-_SHORTEST_PAUSE_S = 0.35
-_LONGEST_PAUSE_S = 1.2
+PAUSE_S = 0.35
 _RETRY_S = 0.25
 _PAGE = 500
 
@@ -42,13 +38,11 @@
     """Who is told whether the store answers.
 
     :param catch_up: asks the other hosts while nothing was listed yet.
-    :param hosts: returns the size of the fleet.
     """
 
     answered: typing.Callable[[], object]
     failed: typing.Callable[[], object]
     catch_up: typing.Callable[[], object]
-    hosts: typing.Callable[[], int]
 
 
 class Feed:
@@ -57,12 +51,17 @@
     def __init__(
         self,
         store: kv.Kv,
+        watch: typing.Callable[[int], kv.Watched],
         sources: tuple[Source, ...],
         health: Health,
         rng: random.Random,
     ) -> None:
-        """Prepare the thread."""
+        """Prepare the thread.
+
+        :param watch: returns the changes of all keys after a revision.
+        """
         self._store = store
+        self._watch = watch
         self._sources = sources
         self._health = health
         self._rng = rng
@@ -86,7 +85,7 @@
         if self._revision is None:
             self._revision = min(self._list(one) for one in self._sources)
             return
-        watched = self._store.watch('', self._revision, WATCH_WAIT_S)
+        watched = self._watch(self._revision)
         if watched.lost:
             _log.info('feed: the history is gone', revision=self._revision)
             self._revision = None
@@ -112,7 +111,7 @@
                 continue
             self._answered()
             if self._revision is not None:
-                self._stopping.wait(pause_s(self._health.hosts()))
+                self._stopping.wait(PAUSE_S)
 
     def _answered(self) -> None:
         if self._is_lost:
@@ -153,9 +152,3 @@
                 source.remove(event.key)
             else:
                 source.update(event.key, event.value)
-
-
-def pause_s(hosts: int) -> float:
-    """Return the pause between two watches of a host of a fleet."""
-    wanted = hosts / _FLEET_CALLS_PER_S
-    return min(max(wanted, _SHORTEST_PAUSE_S), _LONGEST_PAUSE_S)
--- a/papayaloom/process/fleet_hosts.py
+++ b/papayaloom/process/fleet_hosts.py
@@ -14,11 +14,13 @@
     """A host that serves callers.
 
     :param address: ``IP:PORT`` towards callers.
+    :param control: ``IP:PORT`` towards other hosts.
     """
 
     name: str
     address: str
     zone: str = ''
+    control: str = ''
 
 
 class FleetHosts:
@@ -70,6 +72,10 @@
             known[self._me.name] = self._me
         return sorted(host.address for host in known.values())[:most]
 
+    def all(self) -> list[Host]:
+        """Return all hosts, this one included."""
+        return list({**self._others, self._me.name: self._me}.values())
+
     def count(self) -> int:
         """Return the number of hosts, this one included."""
         return len({*self._others, self._me.name})
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -21,6 +21,8 @@
     forwarder,
     gateway_stop,
     presence,
+    relay,
+    relay_watch,
     store_view,
     timers,
     tallies,
@@ -44,6 +46,7 @@
 _MOST_ADDRESSES = 64
 # Size of the fleet that is assumed until the hosts are listed.
 _FIRST_HOSTS = 6
+_LARGE_FLEET_TERMS = 2.5
 # Statuses for the log and the counters alone; no caller gets them.
 _CALLER_GONE = 499
 _BROKEN_OFF = 599
@@ -92,9 +95,7 @@
         self._tally = tallies.Tallies()
         self._pool = idle_pool.IdlePool()
         actor = dispatch_actor.DispatchActor.start(
-            dispatch.Dispatch(
-                cfg.placing, self._rng, cfg.host.name, _FIRST_HOSTS
-            ),
+            dispatch.Dispatch(cfg.placing, self._rng, _FIRST_HOSTS),
             self._clock,
         )
         self.desk = dispatch_actor.Desk(actor)
@@ -104,14 +105,21 @@
         self._view = store_view.StoreView(
             cfg.host, outside, self.desk, self._pool.drop, self._limit
         )
+        self._relay = relay_watch.RelayWatch(
+            store,
+            cfg.host.name,
+            self._view.hosts,
+            self.desk,
+            self._view.describe,
+        )
         self._feed = feed.Feed(
             store,
+            self._relay.watch,
             self._view.sources(),
             feed.Health(
                 self._view.store_answered,
                 self._view.store_failed,
                 catch_up.Seeds(cfg.seeds, self._view).ask,
-                self._view.hosts.count,
             ),
             self._rng,
         )
@@ -119,7 +127,7 @@
             store,
             f'{outside.keys.hosts}{cfg.host.name}',
             msgspec.json.encode(cfg.host),
-            cfg.lease_s,
+            self._lease_s,
         )
         self._timers = timers.Timers(self._clock)
         self._front = self._listen(cfg.addresses.callers, self._serve, _THREADS)
@@ -190,6 +198,15 @@
     def _listen_aside(self, address: tuple[str, int]) -> ingress.Ingress:
         return self._listen(address, self._side, _SIDE_THREADS)
 
+    def _lease_s(self) -> float:
+        """Return the term of this host's entry.
+
+        One host of many is missed less, and renewals add up.
+        """
+        if self._view.hosts.count() > relay.MOST_WATCHING:
+            return self._cfg.lease_s * _LARGE_FLEET_TERMS
+        return self._cfg.lease_s
+
     def _limit(self, limits: routes.CallerLimits) -> None:
         self._front.configure(
             caller.Limits(
@@ -305,6 +322,9 @@
         if target == catch_up.PATH:
             self._answer_peer(inbound)
             return
+        if target == relay_watch.PATH:
+            self._answer_report(inbound)
+            return
         if target == '/metrics':
             inbound.answer(200, [_TEXT], self._tally.text())
             return
@@ -331,6 +351,15 @@
         status = 200 if content else 503
         inbound.answer(status, [], content)
 
+    def _answer_report(self, inbound: ingress.Inbound) -> None:
+        try:
+            content = self._relay.answer(inbound.body)
+        except errors.CodecError as exc:
+            _log.warning('gateway: unreadable report', reason=str(exc))
+            inbound.answer(400, [], b'')
+            return
+        inbound.answer(200 if content else 503, [], content)
+
     def _sweep(self) -> None:
         self._pool.sweep()
         self._view.tick()
--- a/papayaloom/process/presence.py
+++ b/papayaloom/process/presence.py
@@ -1,6 +1,7 @@
 """Keeps this host's entry in the platform's store alive under a lease."""
 
 import threading
+import typing
 
 import structlog
 
@@ -16,17 +17,23 @@
 class Presence:
     """Thread that holds a lease and a key under it.
 
-    :param term_s: the key vanishes so long after the last renewal.
+    :param term_s: returns the time after the last renewal at which the key
+        vanishes.
     """
 
     def __init__(
-        self, store: kv.Kv, key: str, content: bytes, term_s: float
+        self,
+        store: kv.Kv,
+        key: str,
+        content: bytes,
+        term_s: typing.Callable[[], float],
     ) -> None:
         """Prepare the thread."""
         self._store = store
         self._key = key
         self._content = content
-        self._term_s = term_s
+        self._wanted_s = term_s
+        self._term_s = term_s()
         self._lease = ''
         self._stopping = threading.Event()
         self._thread = threading.Thread(
@@ -46,9 +53,11 @@
 
         :raises papayaloom.errors.StoreUnavailableError: the store is away.
         """
-        if self._lease and self._store.keep_lease(self._lease):
+        is_wanted = self._term_s == self._wanted_s()
+        if is_wanted and self._lease and self._store.keep_lease(self._lease):
             return
         self._lease = ''
+        self._term_s = self._wanted_s()
         lease = self._store.grant_lease(self._term_s)
         expect = kv.ABSENT
         while True:
--- a/papayaloom/process/spread.py
+++ b/papayaloom/process/spread.py
@@ -66,13 +66,21 @@
         others = max(total - self._own.get(replica, 0), 0)
         self._reports[replica] = Report(now, others)
 
+    def shared(
+        self, names: typing.Iterable[str], totals: dict[str, int], now: float
+    ) -> None:
+        """Take the requests of the whole fleet at some replicas."""
+        for name in names:
+            others = max(totals.get(name, 0) - self._own.get(name, 0), 0)
+            self._reports[name] = Report(now, others)
+
     def forget(self, replica: str) -> None:
         """Drop what was reported by a replica that is gone."""
         self._reports.pop(replica, None)
 
-    def own(self, replica: str) -> int:
-        """Return the requests of this router at a replica."""
-        return self._own.get(replica, 0)
+    def own(self) -> dict[str, int]:
+        """Return the requests of this router, by replica."""
+        return dict(self._own)
 
     def estimates(
         self, names: typing.Sequence[str], now: float
@@ -115,13 +123,11 @@
     :param candidates: may get the request; at least one.
     :param holders: may have its prefix cached, draining replicas included.
     :param newcomers: too new to have had it.
-    :param is_second: this router prefers the second replica in rank.
     """
 
     candidates: typing.Sequence[replicas.Replica]
     holders: typing.Sequence[replicas.Replica] = ()
     newcomers: frozenset[str] = frozenset()
-    is_second: bool = False
 
 
 def choose(
@@ -165,14 +171,12 @@
 ) -> replicas.Replica | None:
     """Return the first in rank that stays within the bound."""
     allowed = {one.id for one in offer.candidates}
-    within = [
+    within = (
         one
         for one in ranked
         if one.id in allowed and loads[one.id] + 1 <= bound
-    ]
-    if offer.is_second and len(within) > 1:
-        return within[1]
-    return within[0] if within else None
+    )
+    return next(within, None)
 
 
 def _least_loaded(
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -108,6 +108,12 @@
             ),
         )
 
+    def describe(self, key: str, content: bytes) -> object:
+        """Return what an entry says, without the counters of heartbeats."""
+        if key.startswith(self._outside.keys.replicas):
+            return self._outside.replica(key, content)
+        return content
+
     def store_answered(self) -> None:
         """Note an answer of the store."""
         self.hosts.lapses.store_answered(time.monotonic())
--- /dev/null
+++ b/papayaloom/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of real gateway processes on one machine."""
