Share the HTTP calls of both stores, split the side endpoints, move the soak

The steps of kv.feature asked the adapter for a private attribute; it is public now (url), the checks are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -34,4 +34,4 @@
 	$(PY) -m papayaloom.bench.fault_matrix > docs/faults.md
 
 soak: venv
-	$(PY) -m papayaloom.soak.run $(or $(SOAK),--seeds=50 --seconds=8)
+	$(PY) -m features.soak.run $(or $(SOAK),--seeds=50 --seconds=8)
--- a/features/forwarding_router.py
+++ b/features/forwarding_router.py
@@ -9,26 +9,13 @@
 
 from features import fake_engine
 from papayaloom import clock
-from papayaloom.platform import documents, headers, store
+from papayaloom.platform import main, store
 from papayaloom.ports import kv
-from papayaloom.process import (
-    fleet_hosts,
-    gateway,
-    gateway_stop,
-    store_view,
-)
+from papayaloom.process import fleet_hosts, gateway, gateway_stop
 from papayaloom.standins import kv as memory_kv
 from papayaloom.standins import platform_store
 
 HOST = 'a.example'
-OUTSIDE = store_view.Outside(
-    dialect=headers.PlatformDialect(),
-    keys=documents.KEYS,
-    tables=documents.tables,
-    replica=documents.replica,
-    directory_answer=documents.directory_answer,
-    is_readiness=documents.is_readiness,
-)
 
 
 def route(prefix, kind, **changes):
@@ -114,7 +101,7 @@
                 stop=gateway_stop.Cfg(0.5, 0.6, 3),
             ),
             store.PlatformStore(f'{host}:{port}'),
-            OUTSIDE,
+            main.OUTSIDE,
         )
         router.start()
         self.routers.append(router)
--- a/papayaloom/soak/run.py
+++ b/features/soak/run.py
@@ -1,6 +1,6 @@
 """Runs the soak: clients, faults in series and overlapping, and checks.
 
-``python -m papayaloom.soak.run --seed=7 --seconds=60 --gateways=3``
+``python -m features.soak.run --seed=7 --seconds=60 --gateways=3``
 
 Checked from outside, by what callers and replicas see:
 
@@ -23,7 +23,7 @@
 import fire
 import msgspec
 
-from papayaloom.soak import proxy, replica, world
+from features.soak import proxy, replica, world
 
 CLIENTS = 6
 _FAULT_S = (0.3, 2.0)
--- a/papayaloom/soak/world.py
+++ b/features/soak/world.py
@@ -16,7 +16,7 @@
 
 from papayaloom import clock
 from papayaloom.ports import kv
-from papayaloom.soak import proxy, replica
+from features.soak import proxy, replica
 from papayaloom.standins import kv as memory_kv
 from papayaloom.standins import platform_store
 
--- a/features/steps/kv_steps.py
+++ b/features/steps/kv_steps.py
@@ -30,7 +30,7 @@
     if context.kv is context.twin:
         context.twin.faults.change(**json.loads(fault))
         return
-    url = f'{context.kv._url}/faults'
+    url = f'{context.kv.url}/faults'
     assert urllib3.request('PUT', url, body=fault.encode()).status == 200
     assert urllib3.request('PUT', url, body=b'{"none": 1}').status == 400
 
--- a/papayaloom/platform/main.py
+++ b/papayaloom/platform/main.py
@@ -17,7 +17,7 @@
 
 # Time for the last lines of the log to be written.
 _LAST_LINES_S = 0.1
-_OUTSIDE = store_view.Outside(
+OUTSIDE = store_view.Outside(
     dialect=headers.PlatformDialect(),
     keys=documents.KEYS,
     tables=documents.tables,
@@ -34,7 +34,7 @@
     try:
         cfg = settings.load(settings.path_of_process())
         process = gateway.Gateway(
-            cfg.process, store.PlatformStore(cfg.store), _OUTSIDE
+            cfg.process, store.PlatformStore(cfg.store), OUTSIDE
         )
     except errors.SettingsError as exc:
         sys.exit(f'papayaloom-gateway: {exc}')
--- a/papayaloom/platform/store.py
+++ b/papayaloom/platform/store.py
@@ -6,19 +6,18 @@
 
 import base64
 import binascii
-import typing
 import urllib.parse
 
 import msgspec
-import urllib3
 
 from papayaloom import errors
-from papayaloom.ports import failure, kv
+from papayaloom.ports import kv, store_http
 
 _TIMEOUT_S = 1.0
 # Margin of the read timeout over the time that a watch may wait: a watch
 # whose connection has gone silent must not hide changes for long.
 _WATCH_MARGIN_S = 0.8
+_CONNECTIONS = 4
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -88,9 +87,6 @@
     ttl_ms: int
 
 
-_Shape = typing.TypeVar('_Shape')
-
-
 class PlatformStore:
     """The platform's store as :class:`papayaloom.ports.kv.Kv`.
 
@@ -99,16 +95,18 @@
 
     def __init__(self, address: str, timeout_s: float = _TIMEOUT_S) -> None:
         """Prepare a pool; connects on the first call."""
-        self._url = f'http://{address}'
-        self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(retries=False, maxsize=4)
+        self._client = store_http.StoreClient(
+            f'http://{address}', timeout_s, _CONNECTIONS
+        )
 
     def get(self, key: str) -> kv.Entry | None:
         """Return the entry of a key, or nothing."""
-        reply = self._call('GET', _path('key', key=key), (_OK, _NOT_FOUND))
+        reply = self._client.call(
+            'GET', _path('key', key=key), (_OK, _NOT_FOUND)
+        )
         if reply.status == _NOT_FOUND:
             return None
-        return _entry(_decode(reply, _Item))
+        return _entry(store_http.decode(reply, _Item))
 
     def list_prefix(
         self,
@@ -122,7 +120,9 @@
         query = {'prefix': prefix}
         if after:
             query['after'] = after
-        page = _decode(self._call('GET', _path('range', **query)), _Items)
+        page = store_http.decode(
+            self._client.call('GET', _path('range', **query)), _Items
+        )
         return kv.Listing(
             tuple(_entry(one) for one in page.items),
             page.more_pages,
@@ -147,17 +147,21 @@
     def grant_lease(self, term_s: float) -> kv.Lease:
         """Return a new lease."""
         body = msgspec.json.encode(_Term(round(term_s * 1000)))
-        granted = _decode(self._call('POST', _path('lease'), body=body), _Lease)
+        granted = store_http.decode(
+            self._client.call('POST', _path('lease'), body=body), _Lease
+        )
         return kv.Lease(str(granted.lease), granted.ttl_ms / 1000)
 
     def keep_lease(self, lease: str) -> bool:
         """Start the term of a lease anew; false when it has expired."""
-        reply = self._call('POST', f'/kv-keep/{lease}', (_OK, _NOT_FOUND))
+        reply = self._client.call(
+            'POST', f'/kv-keep/{lease}', (_OK, _NOT_FOUND)
+        )
         return reply.status == _OK
 
     def revoke_lease(self, lease: str) -> None:
         """End a lease; its keys vanish."""
-        self._call('DELETE', f'/kv-lease-end/{lease}', (_OK, _NOT_FOUND))
+        self._client.call('DELETE', f'/kv-lease-end/{lease}', (_OK, _NOT_FOUND))
 
     def watch(self, prefix: str, after: int, wait_s: float) -> kv.Watched:
         """Wait for changes of a prefix."""
@@ -167,12 +171,12 @@
             after=str(after),
             waitMs=str(round(wait_s * 1000)),
         )
-        reply = self._call(
-            'GET', path, (_OK, _GONE), read_s=wait_s + _WATCH_MARGIN_S
+        reply = self._client.call(
+            'GET', path, (_OK, _GONE), timeout_s=wait_s + _WATCH_MARGIN_S
         )
         if reply.status == _GONE:
             return kv.Watched((), after, lost=True)
-        seen = _decode(reply, _Events)
+        seen = store_http.decode(reply, _Events)
         return kv.Watched(
             tuple(
                 kv.Event(one.key, one.revision, _content(one), one.removed)
@@ -182,70 +186,29 @@
         )
 
     def _transact(self, change: _Transaction, key: str) -> kv.Written:
-        reply = self._call(
+        reply = self._client.call(
             'POST',
             _path('txn'),
             (_OK, _CONFLICT),
             msgspec.json.encode(change),
         )
         if reply.status == _OK:
-            return kv.Written(True, _decode(reply, _Done).revision)
+            return kv.Written(True, store_http.decode(reply, _Done).revision)
         current = [
             one
-            for one in _decode(reply, _Items).items
+            for one in store_http.decode(reply, _Items).items
             if one.key == key and one.revision
         ]
         return kv.Written(
             False, current=_entry(current[0]) if current else None
         )
 
-    def _call(
-        self,
-        method: str,
-        path: str,
-        usable: tuple[int, ...] = (_OK,),
-        body: bytes | None = None,
-        read_s: float | None = None,
-    ) -> urllib3.BaseHTTPResponse:
-        try:
-            reply = self._pool.request(
-                method,
-                f'{self._url}{path}',
-                body=body,
-                headers={'Content-Type': 'application/json'} if body else {},
-                timeout=urllib3.Timeout(
-                    connect=self._timeout_s, read=read_s or self._timeout_s
-                ),
-                retries=False,
-                redirect=False,
-            )
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
-            raise errors.StoreUnavailableError(
-                f'store {self._url} did not answer {method} '
-                f'{path.partition("?")[0]}: {failure.reason(exc)}'
-            ) from exc
-        if reply.status not in usable:
-            raise errors.StoreUnavailableError(
-                f'store {self._url} answered {reply.status} to {method} '
-                f'{path.partition("?")[0]}'
-            )
-        return reply
-
 
 def _path(call: str, **query: str) -> str:
     words = f'?{urllib.parse.urlencode(query)}' if query else ''
     return f'/kv-{call}{words}'
 
 
-def _decode(reply: urllib3.BaseHTTPResponse, shape: type[_Shape]) -> _Shape:
-    try:
-        return msgspec.json.decode(reply.data, type=shape)
-    except msgspec.MsgspecError as exc:
-        raise errors.StoreUnavailableError(
-            f'the store sent an unreadable answer: {exc}'
-        ) from exc
-
-
 def _content(item: _Item) -> bytes:
     try:
         return base64.b64decode(item.value, validate=True)
--- a/papayaloom/ports/kv.py
+++ b/papayaloom/ports/kv.py
@@ -29,16 +29,15 @@
 import urllib.parse
 
 import msgspec
-import urllib3
 
-from papayaloom import errors
-from papayaloom.ports import failure
+from papayaloom.ports import store_http
 
 ABSENT = 0
 MAX_VALUE_BYTES = 1_000_000
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
+_CONNECTIONS = 8
 # Margin of the read timeout over the time that a watch may wait.
 _WATCH_MARGIN_S = 2.0
 
@@ -183,9 +182,6 @@
         """
 
 
-_Answer = typing.TypeVar('_Answer')
-
-
 class HttpKv:
     """Client of the key-value service over HTTP.
 
@@ -198,16 +194,17 @@
 
     def __init__(self, url: str, timeout_s: float = 2.0) -> None:
         """Prepare a connection pool; connects on the first call."""
-        self._url = url.rstrip('/')
-        self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(retries=False, maxsize=8)
+        self.url = url.rstrip('/')
+        self._client = store_http.StoreClient(url, timeout_s, _CONNECTIONS)
 
     def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or nothing."""
-        reply = self._call('GET', _path('key', key=key), (_OK, _NOT_FOUND))
+        reply = self._client.call(
+            'GET', _path('key', key=key), (_OK, _NOT_FOUND)
+        )
         if reply.status == _NOT_FOUND:
             return None
-        return _decode(reply, Entry)
+        return store_http.decode(reply, Entry)
 
     def list_prefix(
         self,
@@ -225,7 +222,7 @@
             limit=str(limit),
             values=str(int(values)),
         )
-        return _decode(self._call('GET', path), Listing)
+        return store_http.decode(self._client.call('GET', path), Listing)
 
     def put(
         self,
@@ -235,95 +232,52 @@
         lease: str = '',
     ) -> Written:
         """Write a key if it has the expected revision."""
-        reply = self._call(
+        reply = self._client.call(
             'PUT',
             _path('key', key=key),
             (_OK, _CONFLICT),
             msgspec.json.encode(PutBody(value, expect, lease)),
         )
-        return _decode(reply, Written)
+        return store_http.decode(reply, Written)
 
     def delete(self, key: str, expect: int) -> Written:
         """Delete a key if it has the expected revision."""
         path = _path('key', key=key, expect=str(expect))
-        return _decode(
-            self._call('DELETE', path, (_OK, _CONFLICT)),
+        return store_http.decode(
+            self._client.call('DELETE', path, (_OK, _CONFLICT)),
             Written,
         )
 
     def grant_lease(self, term_s: float) -> Lease:
         """Return a new lease."""
         body = msgspec.json.encode(LeaseBody(term_s))
-        return _decode(self._call('POST', _path('leases'), body=body), Lease)
+        return store_http.decode(
+            self._client.call('POST', _path('leases'), body=body), Lease
+        )
 
     def keep_lease(self, lease: str) -> bool:
         """Start the term of a lease anew; false when it has expired."""
         path = _path('leases', lease=lease)
-        reply = self._call('PUT', path, (_OK, _NOT_FOUND))
+        reply = self._client.call('PUT', path, (_OK, _NOT_FOUND))
         return reply.status == _OK
 
     def revoke_lease(self, lease: str) -> None:
         """End a lease; its keys vanish."""
-        self._call('DELETE', _path('leases', lease=lease))
+        self._client.call('DELETE', _path('leases', lease=lease))
 
     def watch(self, prefix: str, after: int, wait_s: float) -> Watched:
         """Wait for changes of a prefix."""
-        reply = self._call(
+        reply = self._client.call(
             'GET',
             _path('watch', prefix=prefix, after=str(after), wait_s=str(wait_s)),
             timeout_s=wait_s + _WATCH_MARGIN_S,
         )
-        return _decode(reply, Watched)
+        return store_http.decode(reply, Watched)
 
     def close(self) -> None:
         """Close the idle connections."""
-        self._pool.clear()
-
-    def _call(
-        self,
-        method: str,
-        path: str,
-        usable: tuple[int, ...] = (_OK,),
-        body: bytes | None = None,
-        timeout_s: float | None = None,
-    ) -> urllib3.BaseHTTPResponse:
-        timeout = urllib3.Timeout(
-            connect=self._timeout_s,
-            read=timeout_s or self._timeout_s,
-        )
-        try:
-            reply = self._pool.request(
-                method,
-                f'{self._url}{path}',
-                body=body,
-                timeout=timeout,
-                retries=False,
-                redirect=False,
-            )
-        except urllib3.exceptions.HTTPError as exc:
-            raise errors.StoreUnavailableError(
-                f'key-value service {self._url} did not answer: '
-                f'{failure.reason(exc)}',
-            ) from exc
-        if reply.status not in usable:
-            raise errors.StoreUnavailableError(
-                f'key-value service {self._url} answered {reply.status} to '
-                f'{method} {path.partition("?")[0]}',
-            )
-        return reply
+        self._client.close()
 
 
 def _path(resource: str, **query: str) -> str:
     return f'/v1/{resource}?{urllib.parse.urlencode(query)}'
-
-
-def _decode(
-    reply: urllib3.BaseHTTPResponse,
-    shape: type[_Answer],
-) -> _Answer:
-    try:
-        return msgspec.json.decode(reply.data, type=shape)
-    except msgspec.DecodeError as exc:
-        raise errors.StoreUnavailableError(
-            f'key-value service sent a malformed answer: {exc}',
-        ) from exc
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -23,9 +23,10 @@
     presence,
     relay,
     relay_watch,
+    side_endpoints,
     store_view,
-    timers,
     tallies,
+    timers,
 )
 from papayaloom.request import events
 from papayaloom.version import routes
@@ -43,7 +44,6 @@
 _STOPPING_RETRY_S = 0.1
 # Idle callers reuse a connection for most of the declared time.
 _IDLE_MARGIN_S = 10
-_MOST_ADDRESSES = 64
 # Size of the fleet that is assumed until the hosts are listed.
 _FIRST_HOSTS = 6
 _LARGE_FLEET_TERMS = 2.5
@@ -131,6 +131,17 @@
         )
         self._timers = timers.Timers(self._clock)
         self._front = self._listen(cfg.addresses.callers, self._serve, _THREADS)
+        self._side = side_endpoints.SideEndpoints(
+            side_endpoints.Parts(
+                view=self._view,
+                relay=self._relay,
+                tally=self._tally,
+                outside=outside,
+                ttl_s=cfg.ttl_s,
+                is_stopping=lambda: self._stop_begun is not None,
+                dump=self.dump,
+            )
+        )
         sides = cfg.addresses
         self._servers = {
             'callers': self._front,
@@ -187,7 +198,7 @@
         return {
             'host': self._cfg.host.name,
             'version': self._view.version,
-            'hosts': self._view.hosts.addresses(_MOST_ADDRESSES, with_me=True),
+            'hosts': [one.address for one in self._view.hosts.all()],
             'stopping': self._stop_begun is not None,
             'tally': self._tally.dump(),
             'dispatch': self.desk.ask(
@@ -196,7 +207,7 @@
         }
 
     def _listen_aside(self, address: tuple[str, int]) -> ingress.Ingress:
-        return self._listen(address, self._side, _SIDE_THREADS)
+        return self._listen(address, self._side.serve, _SIDE_THREADS)
 
     def _lease_s(self) -> float:
         """Return the term of this host's entry.
@@ -276,12 +287,7 @@
         return problem.status, f'{problem.title} {problem.detail}'.strip()
 
     def _job(self, inbound: ingress.Inbound) -> forwarder.Job:
-        table = self._view.table
-        if table is None:
-            raise _refused('no route table is known yet', 503, _UNKNOWN_RETRY_S)
-        if self._state() not in _FORWARDING:
-            inbound.close_after()
-            raise _refused('this host is stopping', 503, _STOPPING_RETRY_S)
+        table = self._admit(inbound)
         asked = self._outside.dialect.read_request(inbound.headers)
         route = table.find(inbound.host, inbound.path)
         if route is None:
@@ -312,54 +318,6 @@
             raise _refused('this host is stopping', 503, _STOPPING_RETRY_S)
         return table
 
-    def _side(self, received: typing.Any) -> None:
-        target = received.uri.decode('latin-1')
-        inbound = ingress.Inbound(received)
-        if self._outside.is_readiness(target):
-            is_ready = self._view.table is not None and self._stop_begun is None
-            inbound.answer(200 if is_ready else 503, [], b'')
-            return
-        if target == catch_up.PATH:
-            self._answer_peer(inbound)
-            return
-        if target == relay_watch.PATH:
-            self._answer_report(inbound)
-            return
-        if target == '/metrics':
-            inbound.answer(200, [_TEXT], self._tally.text())
-            return
-        if target == '/dump':
-            inbound.answer(200, [_JSON], msgspec.json.encode(self.dump()))
-            return
-        answer = None
-        if self._view.table is not None:
-            addresses = self._view.hosts.addresses(
-                _MOST_ADDRESSES, with_me=self._stop_begun is None
-            )
-            answer = self._outside.directory_answer(
-                target, addresses, self._cfg.ttl_s
-            )
-        if answer is None:
-            ingress.refuse(
-                received, inbound, errors.Problem('not known here', 503)
-            )
-            return
-        inbound.answer(200, [_JSON], answer)
-
-    def _answer_peer(self, inbound: ingress.Inbound) -> None:
-        content = self._view.snapshot()
-        status = 200 if content else 503
-        inbound.answer(status, [], content)
-
-    def _answer_report(self, inbound: ingress.Inbound) -> None:
-        try:
-            content = self._relay.answer(inbound.body)
-        except errors.CodecError as exc:
-            _log.warning('gateway: unreadable report', reason=str(exc))
-            inbound.answer(400, [], b'')
-            return
-        inbound.answer(200 if content else 503, [], content)
-
     def _sweep(self) -> None:
         self._pool.sweep()
         self._view.tick()
@@ -384,8 +342,6 @@
             self._stopped.set()
 
 
-_TEXT = (b'Content-Type', b'text/plain; version=0.0.4')
-_JSON = (b'Content-Type', b'application/json')
 _FORWARDING = frozenset(
     (gateway_stop.State.SERVING, gateway_stop.State.LEAVING)
 )
--- a/papayaloom/process/http_front.py
+++ b/papayaloom/process/http_front.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import http
 import math
 import typing
 
@@ -15,7 +14,7 @@
 from cheroot import wsgi
 
 from papayaloom import errors
-from papayaloom.connection import caller, listening
+from papayaloom.connection import caller, ingress, listening
 from papayaloom.process import arrivals, upstream_io, watch
 from papayaloom.request import arrival, chat, prompt, record, splice
 
@@ -103,7 +102,7 @@
         if not body.ok_value.streaming:
             return self._whole(delivery, req, machine, start)
         start(
-            _line(200),
+            _status_text(200),
             [
                 ('Content-Type', 'text/event-stream'),
                 ('Cache-Control', 'no-store'),
@@ -350,17 +349,15 @@
     ]
 
 
-def _line(status: int) -> str:
-    known = status in http.HTTPStatus.__members__.values()
-    phrase = http.HTTPStatus(status).phrase if known else 'Unknown'
-    return f'{status} {phrase}'
+def _status_text(status: int) -> str:
+    return ingress.status_line(status).decode()
 
 
 def _answer(
     status: int, kind: str, content: bytes, marks: Headers, start: Start
 ) -> list[bytes]:
     start(
-        _line(status),
+        _status_text(status),
         [
             ('Content-Type', kind),
             ('Content-Length', str(len(content))),
--- /dev/null
+++ b/papayaloom/process/side_endpoints.py
@@ -0,0 +1,105 @@
+"""What a host answers besides callers' requests.
+
+Readiness for the platform, addresses for callers, snapshots and exchanges for
+other hosts, counters and state for operators.
+"""
+
+import http
+import typing
+
+import msgspec
+import structlog
+
+from papayaloom import errors
+from papayaloom.connection import ingress
+from papayaloom.process import catch_up, relay_watch, store_view, tallies
+
+_log = structlog.get_logger('gateway')
+_MOST_ADDRESSES = 64
+_TEXT = (b'Content-Type', b'text/plain; version=0.0.4')
+_JSON = (b'Content-Type', b'application/json')
+_OK = http.HTTPStatus.OK
+_UNAVAILABLE = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class Parts(msgspec.Struct, frozen=True):
+    """What the endpoints show.
+
+    :param ttl_s: how long callers keep an address answer.
+    :param is_stopping: whether a planned stop has begun.
+    :param dump: returns the state of the process.
+    """
+
+    view: store_view.StoreView
+    relay: relay_watch.RelayWatch
+    tally: tallies.Tallies
+    outside: store_view.Outside
+    ttl_s: float
+    is_stopping: typing.Callable[[], bool]
+    dump: typing.Callable[[], dict[str, object]]
+
+
+class SideEndpoints:
+    """Handler of the listeners beside the callers'."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Keep the parts."""
+        self._parts = parts
+        self._endpoints: dict[str, typing.Callable[[ingress.Inbound], None]] = {
+            catch_up.PATH: self._snapshot,
+            relay_watch.PATH: self._exchange,
+            '/metrics': self._metrics,
+            '/dump': self._dump,
+        }
+
+    def serve(self, received: typing.Any) -> None:
+        """Answer a request."""
+        target = received.uri.decode('latin-1')
+        inbound = ingress.Inbound(received)
+        endpoint = self._endpoints.get(inbound.path)
+        if endpoint is not None:
+            endpoint(inbound)
+        elif self._parts.outside.is_readiness(target):
+            is_ready = self._knows_routes() and not self._parts.is_stopping()
+            inbound.answer(_OK if is_ready else _UNAVAILABLE, [], b'')
+        else:
+            self._directory(received, inbound, target)
+
+    def _knows_routes(self) -> bool:
+        return self._parts.view.table is not None
+
+    def _directory(
+        self, received: typing.Any, inbound: ingress.Inbound, target: str
+    ) -> None:
+        answer = None
+        if self._knows_routes():
+            addresses = self._parts.view.hosts.addresses(
+                _MOST_ADDRESSES, with_me=not self._parts.is_stopping()
+            )
+            answer = self._parts.outside.directory_answer(
+                target, addresses, self._parts.ttl_s
+            )
+        if answer is None:
+            problem = errors.Problem('not known here', _UNAVAILABLE)
+            ingress.refuse(received, inbound, problem)
+            return
+        inbound.answer(_OK, [_JSON], answer)
+
+    def _snapshot(self, inbound: ingress.Inbound) -> None:
+        content = self._parts.view.snapshot()
+        inbound.answer(_OK if content else _UNAVAILABLE, [], content)
+
+    def _exchange(self, inbound: ingress.Inbound) -> None:
+        try:
+            content = self._parts.relay.answer(inbound.body)
+        except errors.CodecError as exc:
+            _log.warning('gateway: unreadable report', reason=str(exc))
+            inbound.answer(http.HTTPStatus.BAD_REQUEST, [], b'')
+            return
+        inbound.answer(_OK if content else _UNAVAILABLE, [], content)
+
+    def _metrics(self, inbound: ingress.Inbound) -> None:
+        inbound.answer(_OK, [_TEXT], self._parts.tally.text())
+
+    def _dump(self, inbound: ingress.Inbound) -> None:
+        inbound.answer(_OK, [_JSON], msgspec.json.encode(self._parts.dump()))
