Give the soak's gateways their own metrics ports

Change: listen.metrics is an optional setting; the soak chooses free ports.

Conclusion: a finding of the test set-up, not of the gateway.

--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -24,7 +24,7 @@
 KEY = 'key-1'
 REPLICAS = 3
 _START_S = 15
-_LISTENERS = ('front', 'ready', 'directory', 'control')
+_LISTENERS = ('front', 'ready', 'directory', 'control', 'metrics')
 _ROUTE = types.MappingProxyType(
     {
         'host': HOST,
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -53,7 +53,7 @@
     urls = ', '.join(f"'{router.url}'" for router in context.routers)
     context.fleet_file = context.folder / 'fleet.json5'
     context.fleet_file.write_text(
-        f"{{store: '{context.kv._url}', // trial\nrouters: [{urls}]}}"
+        f"{{store: '{context.kv.url}', // trial\nrouters: [{urls}]}}"
     )
 
 
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -89,7 +89,7 @@
                 readiness=_address(fields, 'listen.ready'),
                 directory=_address(fields, 'listen.directory'),
                 control=_address(fields, 'listen.control'),
-                metrics=(callers[0], METRICS_PORT),
+                metrics=_metrics(fields, callers[0]),
             ),
             seeds=_seeds(fields),
             ttl_s=min(ttl_s, _LONGEST_TTL_S),
@@ -111,6 +111,13 @@
     return fields[name]
 
 
+def _metrics(fields: dict[str, str], ip: str) -> tuple[str, int]:
+    """Return the address of the metrics, which the platform does not set."""
+    if fields.get('listen.metrics'):
+        return _address(fields, 'listen.metrics')
+    return ip, METRICS_PORT
+
+
 def _address(fields: dict[str, str], name: str) -> tuple[str, int]:
     text = _text(fields, name)
     try:
