Keep the wording of a store that does not answer

Cause: operator.feature failed at 'did not answer: Connection refused' after the two adapters were joined (behave features/operator.feature). Change: the message has its old order again, with the call at its end. Measured: operator.feature passed. Conclusion: mended.

--- a/papayaloom/ports/store_http.py
+++ b/papayaloom/ports/store_http.py
@@ -59,12 +59,12 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             raise errors.StoreUnavailableError(
-                f'store {self._url} did not answer {what}: '
-                f'{failure.reason(exc)}',
+                f'key-value service {self._url} did not answer: '
+                f'{failure.reason(exc)} ({what})',
             ) from exc
         if reply.status not in usable:
             raise errors.StoreUnavailableError(
-                f'store {self._url} answered {reply.status} to {what}',
+                f'key-value service {self._url} answered {reply.status} to {what}',
             )
         return reply
 
