Split the forwarded request from the forwarder

Change: process/forward_job.py holds the request's state and what is read from it; the unread mark is gone.

--- a/papayaloom/platform/headers.py
+++ b/papayaloom/platform/headers.py
@@ -115,7 +115,6 @@
             request_id=found.get(_REQUEST_ID.lower(), b'').decode('latin-1'),
             receipt=found.get(_RECEIPT, b'').decode('latin-1'),
             is_not_run=_NOT_RUN in found or status == _MISDIRECTED,
-            is_misdirected=status == _MISDIRECTED,
             load=_load(found.get(_LOAD, b'')),
             idle_s=_idle_s(found.get(b'keep-alive', b'')),
             is_encoded=coding != b'identity',
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -13,69 +13,24 @@
 import result
 import structlog
 
-from papayaloom import errors, ids
+from papayaloom import errors
 from papayaloom.connection import channel, idle_pool, ingress
-from papayaloom.process import dispatch, dispatch_actor, replicas, spread
-from papayaloom.request import events, forwarding, onward
-from papayaloom.version import routes
+from papayaloom.process import (
+    dispatch,
+    dispatch_actor,
+    forward_job,
+    replicas,
+    spread,
+)
+from papayaloom.request import forwarding, onward
 
 _log = structlog.get_logger('forward')
 _MAX_ANSWER_BYTES = 8_388_608
-_LATE_RETRY_S = 0.5
 _SERVER_ERROR = 500
 _NOT_RUN = errors.Verdict.NOT_RUN
 _MAY_HAVE_RUN = errors.Verdict.MAY_HAVE_RUN
 
 
-class Answer(msgspec.Struct, frozen=True):
-    """A whole answer of a replica."""
-
-    status: int
-    headers: onward.Headers
-    content: bytes
-
-
-class Job(msgspec.Struct):
-    """A request that is being forwarded.
-
-    :param deadline: monotonic time at which the caller gets a final answer.
-    :param version: version of the route table that judges it.
-    :param failed: a replica's own failure, kept in case no other does better.
-    :param joiner: events so far; nothing for a plain call.
-    """
-
-    inbound: ingress.Inbound
-    asked: onward.Asked
-    route: routes.Route
-    service: ids.ServiceId
-    organisation: str
-    priority: int | None
-    deadline: float
-    joiner: events.Joiner
-    version: int = 0
-    progress: forwarding.Progress = msgspec.field(
-        default_factory=forwarding.Progress
-    )
-    tried: set[str] = msgspec.field(default_factory=set)
-    failed: Answer | None = None
-
-    def left_s(self) -> float:
-        """Return the time left."""
-        return self.deadline - time.monotonic()
-
-
-class Failure(msgspec.Struct, frozen=True):
-    """A failed attempt.
-
-    :param replica_failed: whether the replica is to blame; None if not known.
-    """
-
-    verdict: errors.Verdict
-    why: str
-    replica_failed: bool | None = None
-    is_unreachable: bool = False
-
-
 class Parts(msgspec.Struct, frozen=True):
     """What the forwarder works with."""
 
@@ -85,7 +40,7 @@
     rng: random.Random
 
 
-Outcome = result.Result[int, Failure]
+Outcome = result.Result[int, forward_job.Failure]
 
 
 class Forwarder:
@@ -95,7 +50,7 @@
         """Keep the parts."""
         self._parts = parts
 
-    def forward(self, job: Job) -> int:
+    def forward(self, job: forward_job.Job) -> int:
         """Answer a request.
 
         :returns: the status that the caller got.
@@ -118,47 +73,55 @@
             )
             self._log_failure(job, placed.ok_value.replica, failure, step)
             if step is forwarding.Step.FAIL:
-                return self._give_up(job, _failed(job, failure))
+                return self._give_up(job, forward_job.failed(job, failure))
 
-    def _place(self, job: Job) -> dispatch.Placed:
+    def _place(self, job: forward_job.Job) -> dispatch.Placed:
         wanted = dispatch.Wanted(
             job.service,
-            _shared_prefix(job),
+            forward_job.shared_prefix(job),
             frozenset(job.tried),
             job.progress.sends > 0,
         )
         return self._parts.desk.place(wanted)
 
-    def _attempt(self, job: Job, choice: spread.Choice) -> Outcome:
+    def _attempt(self, job: forward_job.Job, choice: spread.Choice) -> Outcome:
         replica = choice.replica
         job.tried.add(replica.id)
-        failure: Failure | None = None
+        failure: forward_job.Failure | None = None
         try:
             outcome = self._exchange(job, choice)
         except BaseException:
-            self._ended(job, replica, Failure(_MAY_HAVE_RUN, 'left'))
+            self._ended(
+                job, replica, forward_job.Failure(_MAY_HAVE_RUN, 'left')
+            )
             raise
         if isinstance(outcome, result.Err):
             failure = outcome.err_value
-            _count(job.progress, failure)
+            forward_job.count(job.progress, failure)
         self._ended(job, replica, failure)
         return outcome
 
-    def _exchange(self, job: Job, choice: spread.Choice) -> Outcome:
+    def _exchange(self, job: forward_job.Job, choice: spread.Choice) -> Outcome:
         replica = choice.replica
         try:
             conn = self._connect(job, replica)
         except errors.UpstreamError as exc:
-            return result.Err(Failure(_NOT_RUN, str(exc), is_unreachable=True))
+            return result.Err(
+                forward_job.Failure(_NOT_RUN, str(exc), is_unreachable=True)
+            )
         try:
             outcome = self._run(job, choice, conn)
         except errors.UpstreamError as exc:
             conn.close()
             has_run = exc.verdict is not _NOT_RUN
-            return result.Err(Failure(exc.verdict, str(exc), has_run or None))
+            return result.Err(
+                forward_job.Failure(exc.verdict, str(exc), has_run or None)
+            )
         except channel.LateError:
             conn.close()
-            return result.Err(Failure(_MAY_HAVE_RUN, 'no answer in time', True))
+            return result.Err(
+                forward_job.Failure(_MAY_HAVE_RUN, 'no answer in time', True)
+            )
         except BaseException:
             conn.close()
             raise
@@ -168,14 +131,16 @@
             conn.close()
         return outcome
 
-    def _connect(self, job: Job, replica: replicas.Replica) -> channel.Channel:
+    def _connect(
+        self, job: forward_job.Job, replica: replicas.Replica
+    ) -> channel.Channel:
         conn = self._parts.pool.take(
             replica.id, fresh=not job.route.is_repeatable
         )
         return conn or channel.Channel(replica.address)
 
     def _run(
-        self, job: Job, choice: spread.Choice, conn: channel.Channel
+        self, job: forward_job.Job, choice: spread.Choice, conn: channel.Channel
     ) -> Outcome:
         replica = choice.replica
         head = self._head(job, choice)
@@ -198,15 +163,19 @@
         if marks.is_not_run:
             self._read_body(job, conn, until)
             return result.Err(
-                Failure(_NOT_RUN, f'refused with {response.status_code}')
+                forward_job.Failure(
+                    _NOT_RUN, f'refused with {response.status_code}'
+                )
             )
         if not marks.receipt or marks.is_encoded:
             raise errors.UpstreamError('no receipt', _MAY_HAVE_RUN)
-        if _is_event_stream(job, response):
+        if forward_job.is_event_stream(job, response):
             return self._stream(job, conn, response, until)
         return self._whole(job, conn, response, until)
 
-    def _head(self, job: Job, choice: spread.Choice) -> channel.Head:
+    def _head(
+        self, job: forward_job.Job, choice: spread.Choice
+    ) -> channel.Head:
         last = job.joiner.last
         sent = onward.Onward(
             left_s=job.left_s(),
@@ -215,7 +184,7 @@
             last_event_id='' if last is None else str(last),
             priority=job.priority,
             body_bytes=len(job.inbound.body),
-            copy_from=_address(choice.source),
+            copy_from=forward_job.address(choice.source),
         )
         return channel.Head(
             job.inbound.method,
@@ -225,13 +194,13 @@
 
     def _whole(
         self,
-        job: Job,
+        job: forward_job.Job,
         conn: channel.Channel,
         response: h11.Response,
         until: float,
     ) -> Outcome:
         content = self._read_body(job, conn, until)
-        answer = Answer(
+        answer = forward_job.Answer(
             response.status_code,
             self._parts.dialect.caller_headers(
                 list(response.headers.raw_items())
@@ -242,15 +211,15 @@
             job.failed = answer
             if job.route.is_repeatable and not job.progress.has_begun:
                 why = f'the replica failed with {answer.status}'
-                return result.Err(Failure(_MAY_HAVE_RUN, why, True))
+                return result.Err(forward_job.Failure(_MAY_HAVE_RUN, why, True))
         if job.progress.has_begun:
             why = f'the stream went on with {answer.status}'
-            return result.Err(Failure(_MAY_HAVE_RUN, why))
-        _deliver(job, answer)
+            return result.Err(forward_job.Failure(_MAY_HAVE_RUN, why))
+        forward_job.deliver(job, answer)
         return result.Ok(answer.status)
 
     def _read_body(
-        self, job: Job, conn: channel.Channel, until: float
+        self, job: forward_job.Job, conn: channel.Channel, until: float
     ) -> bytes:
         parts: list[bytes] = []
         size = 0
@@ -265,7 +234,7 @@
 
     def _stream(
         self,
-        job: Job,
+        job: forward_job.Job,
         conn: channel.Channel,
         response: h11.Response,
         until: float,
@@ -292,7 +261,7 @@
         return result.Ok(response.status_code)
 
     def _pass_on(
-        self, job: Job, response: h11.Response, content: bytes
+        self, job: forward_job.Job, response: h11.Response, content: bytes
     ) -> None:
         if not job.progress.has_begun:
             self._begin(job, response)
@@ -301,7 +270,7 @@
         except OSError as exc:
             raise channel.CallerGoneError(f'not written: {exc}') from exc
 
-    def _begin(self, job: Job, response: h11.Response) -> None:
+    def _begin(self, job: forward_job.Job, response: h11.Response) -> None:
         job.progress.has_begun = True
         headers = self._parts.dialect.caller_headers(
             list(response.headers.raw_items())
@@ -313,9 +282,9 @@
 
     def _ended(
         self,
-        job: Job,
+        job: forward_job.Job,
         replica: replicas.Replica,
-        failure: Failure | None,
+        failure: forward_job.Failure | None,
     ) -> None:
         self._parts.desk.ended(
             dispatch.Outcome(
@@ -326,11 +295,11 @@
             )
         )
 
-    def _give_up(self, job: Job, problem: errors.Problem) -> int:
+    def _give_up(self, job: forward_job.Job, problem: errors.Problem) -> int:
         if job.progress.has_begun:
             raise ingress.BrokenOffError(problem.title)
         if job.failed is not None:
-            _deliver(job, job.failed)
+            forward_job.deliver(job, job.failed)
             return job.failed.status
         if job.progress.runs and problem.status == 503:
             problem = errors.Problem(
@@ -338,7 +307,7 @@
             )
         raise errors.RefusedError(problem)
 
-    def _log_placed(self, job: Job, choice: spread.Choice) -> None:
+    def _log_placed(self, job: forward_job.Job, choice: spread.Choice) -> None:
         _log.info(
             'forward: placed',
             request=job.asked.request_id,
@@ -354,9 +323,9 @@
 
     def _log_failure(
         self,
-        job: Job,
+        job: forward_job.Job,
         replica: replicas.Replica,
-        failure: Failure,
+        failure: forward_job.Failure,
         step: forwarding.Step,
     ) -> None:
         _log.info(
@@ -370,48 +339,3 @@
             left_s=round(job.left_s(), 3),
             step=step.value,
         )
-
-
-def _count(progress: forwarding.Progress, failure: Failure) -> None:
-    if failure.is_unreachable:
-        return
-    progress.sends += 1
-    if failure.verdict is not _NOT_RUN:
-        progress.runs += 1
-
-
-def _address(replica: replicas.Replica | None) -> str:
-    return f'{replica.address[0]}:{replica.address[1]}' if replica else ''
-
-
-def _shared_prefix(job: Job) -> str:
-    """Return the longest prefix of a prompt that other requests share."""
-    if not job.route.is_sticky or len(job.asked.parts) < 2:
-        return ''
-    return job.asked.parts[-2].name
-
-
-def _is_event_stream(job: Job, response: h11.Response) -> bool:
-    return (
-        job.route.kind is routes.Kind.STREAM
-        and response.status_code // 100 == 2
-    )
-
-
-def _deliver(job: Job, answer: Answer) -> None:
-    try:
-        job.inbound.answer(answer.status, answer.headers, answer.content)
-    except OSError as exc:
-        raise channel.CallerGoneError(f'not written: {exc}') from exc
-
-
-def _failed(job: Job, failure: Failure) -> errors.Problem:
-    """Return what the caller is told when the last attempt failed."""
-    is_late = job.left_s() <= 0
-    if job.progress.runs:
-        return errors.Problem(
-            failure.why,
-            504 if is_late else 502,
-            verdict=_MAY_HAVE_RUN.value,
-        )
-    return errors.Problem(failure.why, 503, retry_after_s=_LATE_RETRY_S)
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -18,6 +18,7 @@
     dispatch_actor,
     feed,
     fleet_hosts,
+    forward_job,
     forwarder,
     gateway_stop,
     presence,
@@ -286,7 +287,7 @@
             ingress.refuse(received, inbound, problem)
         return problem.status, f'{problem.title} {problem.detail}'.strip()
 
-    def _job(self, inbound: ingress.Inbound) -> forwarder.Job:
+    def _job(self, inbound: ingress.Inbound) -> forward_job.Job:
         table = self._admit(inbound)
         asked = self._outside.dialect.read_request(inbound.headers)
         route = table.find(inbound.host, inbound.path)
@@ -297,7 +298,7 @@
         if asked.timeout_s is not None:
             wait_s = min(wait_s, asked.timeout_s)
         last = asked.last_event_id
-        return forwarder.Job(
+        return forward_job.Job(
             inbound=inbound,
             asked=asked,
             route=route,
--- a/papayaloom/request/onward.py
+++ b/papayaloom/request/onward.py
@@ -76,7 +76,6 @@
     :param request_id: the request that it answers, or empty.
     :param receipt: proof that a replica made the answer, or empty.
     :param is_not_run: the replica says that it did not run the request.
-    :param is_misdirected: another replica has the address now.
     :param idle_s: how long the replica keeps an idle connection; None when it
         does not say.
     :param is_encoded: the body has a content coding.
@@ -85,7 +84,6 @@
     request_id: str = ''
     receipt: str = ''
     is_not_run: bool = False
-    is_misdirected: bool = False
     load: Load | None = None
     idle_s: float | None = None
     is_encoded: bool = False
