A relay that is out of touch says so at once

A relay whose watch of the store had failed, or whose history was lost, told the hosts 'nothing new' until 2.5 s had passed since its last answer.

Change: a failed call and a lost history end a relay's standing at once, and 1.2 s without an answer do too; the hosts then ask another relay or the store.

Ruled out: versions that go backwards (a lower one is never taken); hosts without a relay (12 and fewer were not touched).

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -23,6 +23,27 @@
     When 3 s pass at the relay without an answer of the store
     Then a host at revision 10 is sent away
 
+  Scenario: A relay whose call to the store failed sends hosts away at once
+    Given a relay that watches from revision 10
+    When the store does not answer the relay
+    Then a host at revision 10 is sent away
+
+  Scenario: A relay that has just lost its history sends hosts away at once
+    Given a relay that watches from revision 10
+    When the relay's history is lost
+    Then a host at revision 10 is sent away
+
+  Scenario: A relay that has heard nothing for longer than a watch takes sends hosts away
+    Given a relay that watches from revision 10
+    When 2 s pass at the relay without an answer of the store
+    Then a host at revision 10 is sent away
+
+  Scenario: A relay's own watch that fails is known to the hosts that ask next
+    Given 13 listed hosts, of which one runs as the only relay
+    When the store is down and the relay watches
+    And a host that is no relay watches
+    Then it learns that neither relay nor store answers
+
   Scenario: Loads of all hosts are added, and those of hosts that fell silent expire
     Given a relay that watches from revision 10
     When the hosts report
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from papayaloom import clock, hashing
+from papayaloom import clock, errors, hashing
 from papayaloom.connection import caller, ingress
 from papayaloom.ports import kv
 from papayaloom.process import fleet_hosts, relay, relay_watch
@@ -152,7 +152,10 @@
 @behave.when('a host that is no relay watches')
 def no_relay_watches(context):
     context.reads_before = context.twin.counts.reads
-    context.watched = context.follower.watch(0)
+    try:
+        context.watched = context.follower.watch(0)
+    except errors.StoreUnavailableError:
+        context.watched = None
 
 
 @behave.then(
@@ -173,3 +176,29 @@
 def from_store(context):
     assert [one.value for one in context.watched.events] == [b'x 1']
     assert context.twin.counts.reads > context.reads_before
+
+
+@behave.when('the store does not answer the relay')
+def store_silent(context):
+    context.relay.fail()
+
+
+@behave.when("the relay's history is lost")
+def history_lost(context):
+    lost = kv.Watched((), 10, lost=True)
+    context.relay.publish(10, lost, context.now)
+
+
+@behave.when('the store is down and the relay watches')
+def down_and_watches(context):
+    context.twin.faults.outage = True
+    try:
+        context.served.watch(1)
+    except errors.StoreUnavailableError:
+        return
+    raise AssertionError('the outage was not noticed')
+
+
+@behave.then('it learns that neither relay nor store answers')
+def neither_answers(context):
+    assert context.watched is None
--- a/papayaloom/process/relay.py
+++ b/papayaloom/process/relay.py
@@ -17,7 +17,7 @@
 # Up to this size every host watches the store itself.
 MOST_WATCHING = 12
 _KEPT_EVENTS = 4000
-_LIVE_S = 2.5
+_LIVE_S = 1.2
 _SUM_EXPIRY_S = 2.0
 
 
@@ -79,13 +79,17 @@
             self._events.clear()
             self._start = after
         self._revision = watched.revision
-        self._live_at = now
+        self._live_at = float('-inf') if watched.lost else now
         self._events.extend(
             event for event in watched.events if self._is_new(event)
         )
         while len(self._events) > _KEPT_EVENTS:
             self._start = self._events.popleft().revision
 
+    def fail(self) -> None:
+        """Note that the store does not answer: others must not rely on it."""
+        self._live_at = float('-inf')
+
     def is_live(self, now: float) -> bool:
         """Whether the store has answered a moment ago."""
         return self._start is not None and now - self._live_at < _LIVE_S
--- a/papayaloom/process/relay_watch.py
+++ b/papayaloom/process/relay_watch.py
@@ -91,7 +91,12 @@
     def _watch_store(
         self, after: int, relays: typing.Sequence[fleet_hosts.Host]
     ) -> kv.Watched:
-        watched = self._store.watch('', after, WATCH_WAIT_S)
+        try:
+            watched = self._store.watch('', after, WATCH_WAIT_S)
+        except errors.StoreUnavailableError:
+            with self._lock:
+                self._relay.fail()
+            raise
         with self._lock:
             self._relay.publish(after, watched, time.monotonic())
         self._tell_relays(watched.revision, relays)
