Stop the relay's server after each scenario, and the gateway's listeners together

Each scenario of gateway.feature took three seconds to close five listeners one after the other (behave counts steps, not cleanups, so 'Took' hid it). Change: the server is stopped in a cleanup; the listeners stop together.

--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -132,6 +132,8 @@
         ('127.0.0.1', 0), serve, caller.Limits(threads=2)
     )
     context.server.prepare()
+    # A server that still serves would keep the test run from ending.
+    context.add_cleanup(context.server.stop)
     threading.Thread(target=context.server.serve, daemon=True).start()
     address = '%s:%d' % context.server.bind_addr
     # Relays that do not run refuse connections.
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -182,8 +182,14 @@
         self._feed.stop()
         self._presence.stop()
         self._timers.stop()
-        for one in self._servers.values():
-            one.stop()
+        # Each waits half a second for its selector.
+        stopping = [
+            threading.Thread(target=one.stop) for one in self._servers.values()
+        ]
+        for thread in stopping:
+            thread.start()
+        for thread in stopping:
+            thread.join()
 
     def begin_stop(self) -> None:
         """Begin a planned stop; a second call changes nothing."""
