Relays in two levels, on strong hosts, with compressed values

Change: two roots watch the store, a tenth of the hosts ask the roots, the others ask that tenth (process/relay_plan.py). Relays are taken from the stronger half of the hosts. Long values travel compressed. A digest tells its age, so that two levels are no staler than one. A peer that hangs is left out for 4 s, one that is out of touch for 1 s. The feed lists all its keys with one call in place of three. Also: two fields that nobody read are gone (forwarder.Parts.rng, routes.Service).

Ruled out: the store itself (hosts that it served took changes in time).

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -47,10 +47,10 @@
   Scenario: Loads of all hosts are added, and those of hosts that fell silent expire
     Given a relay that watches from revision 10
     When the hosts report
-      | host | role  | loads |
-      | h1   | host  | a=2   |
-      | h2   | host  | a=1   |
-      | r2   | relay | a=4   |
+      | host | role | loads |
+      | h1   | host | a=2   |
+      | h2   | host | a=1   |
+      | r2   | root | a=4   |
     Then with 1 of its own the relay's total for "a" is 8 and its subtotal 4
     When 3 s pass at the relay without an answer of the store
     Then with 1 of its own the relay's total for "a" is 1 and its subtotal 1
@@ -62,3 +62,53 @@
     When the relay's process ends
     And a host that is no relay watches
     Then it gets its changes from the store
+
+  Scenario Outline: The work of passing on changes is spread over strong hosts
+    Given a fleet of <hosts> hosts, every second one weak
+    When each host plans whom it asks
+    Then <roots> strong hosts watch the store
+    And each host is asked first by at most <most> others
+    And a change reaches every host over at most <hops> others
+
+    Examples: a relay answers a bounded number of hosts, however large the fleet
+      | hosts | roots | most | hops |
+      | 13    | 2     | 9    | 1    |
+      | 84    | 2     | 20   | 2    |
+      | 360   | 2     | 30   | 2    |
+
+  Scenario: In a small fleet every host watches the store
+    Given a fleet of 12 hosts, every second one weak
+    When each host plans whom it asks
+    Then 12 hosts watch the store themselves
+
+  Scenario: Hosts that did not answer a moment ago are not asked
+    Given a fleet of 84 hosts, every second one weak
+    When each host plans whom it asks
+    Then a host that avoids all relays asks the roots
+    And a root that avoids the other one tells nobody
+
+  Scenario: A peer that hangs holds a root up once, not in every round
+    Given a root whose only peer accepts connections and never answers
+    Then of 4 watches only the first takes more than 0.4 s
+
+  Scenario: Knowledge grows old on its way over several hosts
+    Given a relay that follows a host whose knowledge is 0.8 s old
+    Then a host at revision 10 gets no changes and goes on from 10
+    Given a relay that follows a host whose knowledge is 1.3 s old
+    Then a host at revision 10 is sent away
+
+  Scenario: A relay passes on the sums of its root, and none of its own making
+    Given a relay that follows a host whose knowledge is 0.1 s old
+    Then the totals that it passes on are {}
+    When the host that it follows says that the fleet has {"a": 20}
+    Then the totals that it passes on are {"a": 20}
+
+  Scenario: A long route table does not fill the links between hosts
+    Given a relay that watches from revision 10
+    When the store changes a value of 100000 similar bytes
+    Then a host gets the value whole in less than 4000 bytes
+
+  Scenario: A relay that the store turns away still learns what changed
+    Given 84 listed hosts, of which a root and a relay run, the relay cut from the store
+    When a host that is no relay watches
+    Then it gets its changes through the relay
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,11 +1,22 @@
+import collections
+import functools
+import json
+import socket
 import threading
+import time
 
 import behave
+import msgspec
 
-from papayaloom import clock, errors, hashing
+from papayaloom import clock, errors
 from papayaloom.connection import caller, ingress
 from papayaloom.ports import kv
-from papayaloom.process import fleet_hosts, relay, relay_watch
+from papayaloom.process import (
+    fleet_hosts,
+    relay,
+    relay_plan,
+    relay_watch,
+)
 from papayaloom.standins import kv as memory_kv
 
 
@@ -18,8 +29,8 @@
     return kv.Event('servers/a', revision, text.encode())
 
 
-def ask(context, revision, host='h1', loads=None, is_relay=False):
-    report = relay.Report(host, revision, loads or {}, is_relay)
+def ask(context, revision, host='h1', loads=None, is_root=False):
+    report = relay.Report(host, revision, loads or {}, is_root)
     return context.relay.answer(report, {}, context.now)
 
 
@@ -27,6 +38,7 @@
 def relay_from(context, revision):
     context.now = 0.0
     context.relay = relay.Relay(describe)
+    context.relay.lead(is_root=True)
     context.relay.publish(revision, kv.Watched((), revision), context.now)
 
 
@@ -80,8 +92,8 @@
 def hosts_report(context):
     for row in context.table:
         name, _, count = row['loads'].partition('=')
-        is_relay = row['role'] == 'relay'
-        ask(context, 10, row['host'], {name: int(count)}, is_relay)
+        is_root = row['role'] == 'root'
+        ask(context, 10, row['host'], {name: int(count)}, is_root)
 
 
 @behave.then(
@@ -114,35 +126,49 @@
     return relay_watch.RelayWatch(context.twin, name, hosts, loads, describe)
 
 
-def first_relay(names):
-    return hashing.rank('relay', names, relay.RELAYS)
+def roots(hosts):
+    return [
+        host.name
+        for host in hosts
+        if relay_plan.plan(host.name, hosts).role is relay_plan.Role.ROOT
+    ]
 
 
-@behave.given('{count:d} listed hosts, of which one runs as the only relay')
-def listed_hosts(context, count):
-    context.twin = memory_kv.MemoryKv(clock.SystemClock(), blocking=True)
-    names = [f'h{number}' for number in range(count)]
-    relays = first_relay(names)
+def serve_exchange(context, watch):
+    """Return the address at which a host answers others."""
 
     def serve(received):
         inbound = ingress.Inbound(received)
-        inbound.answer(200, [], context.served.answer(inbound.body))
+        content = watch().answer(inbound.body)
+        inbound.answer(200 if content else 503, [], content)
 
-    context.server = ingress.Ingress(
-        ('127.0.0.1', 0), serve, caller.Limits(threads=2)
-    )
-    context.server.prepare()
+    server = ingress.Ingress(('127.0.0.1', 0), serve, caller.Limits(threads=2))
+    server.prepare()
     # A server that still serves would keep the test run from ending.
-    context.add_cleanup(context.server.stop)
-    threading.Thread(target=context.server.serve, daemon=True).start()
-    address = '%s:%d' % context.server.bind_addr
-    # Relays that do not run refuse connections.
+    context.add_cleanup(server.stop)
+    threading.Thread(target=server.serve, daemon=True).start()
+    context.servers.append(server)
+    return '%s:%d' % server.bind_addr
+
+
+@behave.given('{count:d} listed hosts, of which one runs as the only relay')
+def listed_hosts(context, count):
+    context.twin = memory_kv.MemoryKv(clock.SystemClock(), blocking=True)
+    context.servers = []
+    unnamed = [
+        # Hosts that do not run refuse connections.
+        fleet_hosts.Host(f'h{number}', '', control='127.0.0.1:1')
+        for number in range(count)
+    ]
+    relays = roots(unnamed)
+    address = serve_exchange(context, lambda: context.served)
     context.hosts = [
-        fleet_hosts.Host(
-            name, '', control=address if name == relays[0] else '127.0.0.1:1'
-        )
-        for name in names
+        msgspec.structs.replace(host, control=address)
+        if host.name == relays[0]
+        else host
+        for host in unnamed
     ]
+    names = [host.name for host in context.hosts]
     context.served = watcher(context, relays[0], Loads())
     revision = context.twin.put('servers/a', b'x 1', kv.ABSENT).revision
     context.served.watch(revision - 1)
@@ -171,7 +197,8 @@
 
 @behave.when("the relay's process ends")
 def relay_ends(context):
-    context.server.stop()
+    for server in context.servers:
+        server.stop()
 
 
 @behave.then('it gets its changes from the store')
@@ -204,3 +231,180 @@
 @behave.then('it learns that neither relay nor store answers')
 def neither_answers(context):
     assert context.watched is None
+
+
+@behave.given('a fleet of {count:d} hosts, every second one weak')
+def mixed_fleet(context, count):
+    context.hosts = [
+        fleet_hosts.Host(
+            f'h{number}', '', control=f'h{number}:1', capacity=1 + number % 2
+        )
+        for number in range(count)
+    ]
+
+
+@behave.when('each host plans whom it asks')
+def each_plans(context):
+    context.plans = {
+        host.name: relay_plan.plan(host.name, context.hosts)
+        for host in context.hosts
+    }
+
+
+@behave.then('{count:d} strong hosts watch the store')
+def strong_watch(context, count):
+    asking = [name for name, one in context.plans.items() if not one.sources]
+    assert len(asking) == count, asking
+    assert all(int(name[1:]) % 2 for name in asking), asking
+
+
+@behave.then('{count:d} hosts watch the store themselves')
+def all_watch(context, count):
+    roles = [one.role for one in context.plans.values()]
+    assert roles == [relay_plan.Role.ALONE] * count, roles
+
+
+@behave.then('each host is asked first by at most {most:d} others')
+def asked_by(context, most):
+    first = collections.Counter(
+        one.sources[0].name for one in context.plans.values() if one.sources
+    )
+    assert max(first.values(), default=0) <= most, first
+
+
+@behave.then('a change reaches every host over at most {most:d} others')
+def depth(context, most):
+    def hops(name):
+        sources = context.plans[name].sources
+        return 1 + max(hops(one.name) for one in sources) if sources else 0
+
+    assert max(hops(name) for name in context.plans) == most
+
+
+@behave.then('a host that avoids all relays asks the roots')
+def avoids_relays(context):
+    middle = {
+        name
+        for name, one in context.plans.items()
+        if one.role is relay_plan.Role.RELAY
+    }
+    leaf = next(
+        name
+        for name, one in context.plans.items()
+        if one.role is relay_plan.Role.LEAF
+    )
+    asked = relay_plan.plan(leaf, context.hosts, middle).sources
+    assert asked
+    assert {one.name for one in asked} == set(roots(context.hosts))
+
+
+@behave.then('a root that avoids the other one tells nobody')
+def avoids_peer(context):
+    first, second = roots(context.hosts)
+    assert relay_plan.plan(first, context.hosts).peers
+    assert not relay_plan.plan(first, context.hosts, {second}).peers
+
+
+@behave.given('a relay that follows a host whose knowledge is {age:g} s old')
+def follows_old(context, age):
+    context.now = 10.0
+    context.relay = relay.Relay(describe)
+    context.relay.publish(10, kv.Watched((), 10), context.now - age)
+
+
+@behave.then('the totals that it passes on are {totals}')
+def passes_totals(context, totals):
+    digest = ask(context, 10, loads={'a': 3})
+    assert digest.totals == json.loads(totals), digest.totals
+
+
+@behave.when('the host that it follows says that the fleet has {totals}')
+def follows_totals(context, totals):
+    context.relay.take_totals(json.loads(totals), context.now)
+
+
+@behave.when('the store changes a value of {size:d} similar bytes')
+def long_value(context, size):
+    context.value = (b'{"name": "route-1"}' * size)[:size]
+    change = kv.Event('op/config', 11, context.value)
+    context.relay.publish(10, kv.Watched((change,), 11), context.now)
+
+
+@behave.then('a host gets the value whole in less than {size:d} bytes')
+def value_is_whole(context, size):
+    digest = ask(context, 10)
+    assert len(msgspec.msgpack.encode(digest)) < size
+    assert relay.unpack(digest.events[0]).value == context.value
+
+
+@behave.given(
+    '{count:d} listed hosts, of which a root and a relay run, the relay cut from the store'
+)
+def root_and_relay(context, count):
+    context.twin = memory_kv.MemoryKv(clock.SystemClock(), blocking=True)
+    context.servers = []
+    unnamed = [
+        fleet_hosts.Host(f'h{number}', '', control='127.0.0.1:1')
+        for number in range(count)
+    ]
+    root = roots(unnamed)[0]
+    follower, relays = next(
+        (host.name, plan.sources)
+        for host in unnamed
+        if (plan := relay_plan.plan(host.name, unnamed)).role
+        is relay_plan.Role.LEAF
+    )
+    middle = relays[0].name
+    watches = {}
+    running = {
+        name: serve_exchange(context, functools.partial(watches.get, name))
+        for name in (root, middle)
+    }
+    context.hosts = [
+        msgspec.structs.replace(
+            host, control=running.get(host.name, host.control)
+        )
+        for host in unnamed
+    ]
+    context.follower_loads = Loads()
+    for name in running:
+        watches[name] = watcher(context, name, Loads())
+    context.twin.put('servers/a', b'x 1', kv.ABSENT)
+    watches[root].watch(0)
+    context.twin.faults.outage = True
+    watches[middle].watch(0)
+    # The root answers with what it knows, the store not at all.
+    context.follower = watcher(context, follower, context.follower_loads)
+
+
+@behave.then('it gets its changes through the relay')
+def through_relay(context):
+    assert context.watched is not None
+    assert [one.value for one in context.watched.events] == [b'x 1']
+
+
+@behave.given('a root whose only peer accepts connections and never answers')
+def hanging_peer(context):
+    context.twin = memory_kv.MemoryKv(clock.SystemClock(), blocking=True)
+    context.twin.put('servers/a', b'x 1', kv.ABSENT)
+    silent = socket.create_server(('127.0.0.1', 0))
+    context.add_cleanup(silent.close)
+    address = '%s:%d' % silent.getsockname()
+    context.hosts = [
+        fleet_hosts.Host(f'h{number}', '', control=address)
+        for number in range(13)
+    ]
+    context.root = watcher(context, roots(context.hosts)[0], Loads())
+
+
+@behave.then(
+    'of {count:d} watches only the first takes more than {seconds:g} s'
+)
+def watches_take(context, count, seconds):
+    taken = []
+    for _ in range(count):
+        begun = time.monotonic()
+        context.root.watch(0)
+        taken.append(time.monotonic() - begun)
+    assert taken[0] > seconds, taken
+    assert max(taken[1:]) < seconds, taken
--- a/papayaloom/platform/documents.py
+++ b/papayaloom/platform/documents.py
@@ -50,11 +50,6 @@
     split: tuple[_Share, ...] = ()
 
 
-class _Service(_Struct, frozen=True):
-    name: str
-    max_connections: int = 0
-
-
 class _Limits(_Struct, frozen=True):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
@@ -71,7 +66,6 @@
 class _Config(_Struct, frozen=True):
     version: int
     routes: tuple[_Route, ...] = ()
-    services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
     tenants: tuple[_Tenant, ...] = ()
 
@@ -107,10 +101,6 @@
         return routes.Tables(
             version=config.version,
             routes=tuple(_route(one) for one in config.routes),
-            services=tuple(
-                routes.Service(ids.ServiceId(one.name), one.max_connections)
-                for one in config.services
-            ),
             organisations=tuple(
                 routes.Organisation(
                     ids.OrgId(one.name), one.api_keys, one.priority
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -20,6 +20,8 @@
 _END_MARGIN_S = 0.45
 _LONGEST_TTL_S = 1.0
 _LEASE_S = 1.2
+# What a core of this program can use when it passes on changes.
+_LINK_MBPS_PER_CORE = 50.0
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -83,6 +85,7 @@
                 _text(fields, 'listen.front'),
                 fields.get('zone', ''),
                 _text(fields, 'listen.control'),
+                _capacity(fields),
             ),
             addresses=gateway.Addresses(
                 callers=callers,
@@ -111,6 +114,13 @@
     return fields[name]
 
 
+def _capacity(fields: dict[str, str]) -> float:
+    share = _number(fields, 'limits.cpuShare', 1)
+    speed = _number(fields, 'limits.cores', 1)
+    link_mbps = _number(fields, 'limits.linkMbps', _LINK_MBPS_PER_CORE)
+    return min(share * speed, link_mbps / _LINK_MBPS_PER_CORE)
+
+
 def _metrics(fields: dict[str, str], ip: str) -> tuple[str, int]:
     """Return the address of the metrics, which the platform does not set."""
     if fields.get('listen.metrics'):
--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -4,6 +4,7 @@
 change the store many times a second and every call has its price.
 """
 
+import os
 import random
 import threading
 import typing
@@ -63,6 +64,7 @@
         self._store = store
         self._watch = watch
         self._sources = sources
+        self._prefix = os.path.commonprefix([one.prefix for one in sources])
         self._health = health
         self._rng = rng
         self._stopping = threading.Event()
@@ -83,7 +85,7 @@
         :raises papayaloom.errors.StoreUnavailableError: the store is away.
         """
         if self._revision is None:
-            self._revision = min(self._list(one) for one in self._sources)
+            self._revision = self._list()
             return
         watched = self._watch(self._revision)
         if watched.lost:
@@ -127,12 +129,13 @@
         if self._revision is None:
             self._health.catch_up()
 
-    def _list(self, source: Source) -> int:
+    def _list(self) -> int:
+        """List all sources at once: each call has its price."""
         entries: list[kv.Entry] = []
         after = ''
         revision: int | None = None
         while True:
-            page = self._store.list_prefix(source.prefix, after, _PAGE)
+            page = self._store.list_prefix(self._prefix, after, _PAGE)
             if revision is None:
                 # Changes made while the later pages are read are seen again.
                 revision = page.revision
@@ -141,7 +144,10 @@
                 break
             after = page.entries[-1].key
         self._health.answered()
-        source.replace(entries)
+        for source in self._sources:
+            source.replace(
+                [one for one in entries if one.key.startswith(source.prefix)]
+            )
         return revision
 
     def _dispatch(self, event: kv.Event) -> None:
--- a/papayaloom/process/fleet_hosts.py
+++ b/papayaloom/process/fleet_hosts.py
@@ -15,12 +15,15 @@
 
     :param address: ``IP:PORT`` towards callers.
     :param control: ``IP:PORT`` towards other hosts.
+    :param capacity: what it can do besides serving, in processor cores; a
+        thin link counts like a slow processor.
     """
 
     name: str
     address: str
     zone: str = ''
     control: str = ''
+    capacity: float = 1
 
 
 class FleetHosts:
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -5,7 +5,6 @@
 :mod:`papayaloom.process.dispatch`.
 """
 
-import random
 import time
 
 import h11
@@ -37,7 +36,6 @@
     desk: dispatch_actor.Desk
     dialect: onward.Dialect
     pool: idle_pool.IdlePool
-    rng: random.Random
 
 
 Outcome = result.Result[int, forward_job.Failure]
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -22,7 +22,7 @@
     forwarder,
     gateway_stop,
     presence,
-    relay,
+    relay_plan,
     relay_watch,
     side_endpoints,
     store_view,
@@ -101,7 +101,7 @@
         )
         self.desk = dispatch_actor.Desk(actor)
         self._forwarder = forwarder.Forwarder(
-            forwarder.Parts(self.desk, outside.dialect, self._pool, self._rng)
+            forwarder.Parts(self.desk, outside.dialect, self._pool)
         )
         self._view = store_view.StoreView(
             cfg.host, outside, self.desk, self._pool.drop, self._limit
@@ -221,7 +221,7 @@
 
         One host of many is missed less, and renewals add up.
         """
-        if self._view.hosts.count() > relay.MOST_WATCHING:
+        if self._view.hosts.count() > relay_plan.MOST_WATCHING:
             return self._cfg.lease_s * _LARGE_FLEET_TERMS
         return self._cfg.lease_s
 
--- a/papayaloom/process/relay.py
+++ b/papayaloom/process/relay.py
@@ -1,58 +1,99 @@
-"""What a few hosts of a large fleet tell the others, on behalf of the store.
+"""What a host of a large fleet tells others, on behalf of the store.
 
 Answers two patterns that grow with the fleet: every host that watches the
 store costs calls, and a host that sees a sliver of the traffic can't tell
-which replica is busy. So a few relay hosts watch; the others ask them often,
-say what they have running where, and get changes and sums in return.
+which replica is busy. So hosts ask each other often, as
+:mod:`papayaloom.process.relay_plan` lays out, say what they have running
+where, and get changes and sums in return.
 """
 
 import collections
 import typing
+import zlib
 
 import msgspec
 
 from papayaloom.ports import kv
 
-RELAYS = 3
-# Up to this size every host watches the store itself.
-MOST_WATCHING = 12
 _KEPT_EVENTS = 4000
+# Age at which knowledge of the store is too old to be passed on.
 _LIVE_S = 1.2
 _SUM_EXPIRY_S = 2.0
+# A route table is long and repeats itself; links of hosts may be thin.
+_PLAIN_BYTES = 1024
+_FASTEST = 1
 
 
 class Report(msgspec.Struct, frozen=True):
-    """What a host tells a relay.
+    """What a host tells another one.
 
     :param after: revision up to which the host knows the store.
-    :param loads: requests that it has running, by replica; of a relay, also
-        those of the hosts that report to it.
+    :param loads: requests that it and its followers have running, by replica.
+    :param is_root: the host is a root, which followers of others don't ask.
     """
 
     host: str
     after: int
     loads: dict[str, int]
-    is_relay: bool = False
+    is_root: bool = False
 
 
-class Digest(msgspec.Struct, frozen=True):
-    """What a relay answers.
+class Change(msgspec.Struct, frozen=True):
+    """A change of the store on its way between hosts.
 
-    :param events: changes after the host's revision that say something new.
-    :param is_lost: changes are missing; the host lists the store again.
-    :param totals: running requests of the whole fleet, by replica.
+    :param is_deflated: the value is compressed with zlib.
     """
 
+    key: str
     revision: int
-    events: tuple[kv.Event, ...]
+    value: bytes = b''
+    is_deleted: bool = False
+    is_deflated: bool = False
+
+
+class Digest(msgspec.Struct, frozen=True):
+    """What a host answers.
+
+    :param events: changes after the asking host's revision that say
+        something new.
+    :param totals: running requests of the whole fleet, by replica; empty when
+        they are not known.
+    :param age_s: time since the store said so.
+    :param is_lost: changes are missing; the asking host lists the store again.
+    """
+
+    revision: int
+    events: tuple[Change, ...]
     totals: dict[str, int]
+    age_s: float = 0
     is_lost: bool = False
 
 
 class _Sum(msgspec.Struct, frozen=True):
     at: float
     loads: dict[str, int]
-    is_relay: bool
+    is_root: bool
+
+
+def pack(event: kv.Event) -> Change:
+    """Return a change as it is sent."""
+    if len(event.value) <= _PLAIN_BYTES:
+        return Change(event.key, event.revision, event.value, event.deleted)
+    deflated = zlib.compress(event.value, _FASTEST)
+    return Change(
+        event.key, event.revision, deflated, event.deleted, is_deflated=True
+    )
+
+
+def unpack(change: Change) -> kv.Event:
+    """Return the event of a received change.
+
+    :raises zlib.error: the value can't be read.
+    """
+    content = change.value
+    if change.is_deflated:
+        content = zlib.decompress(content)
+    return kv.Event(change.key, change.revision, content, change.is_deleted)
 
 
 class Relay:
@@ -66,33 +107,42 @@
         """Start without changes."""
         self._describe = describe
         self._said: dict[str, object] = {}
-        self._events: collections.deque[kv.Event] = collections.deque()
+        self._events: collections.deque[Change] = collections.deque()
         self._start: int | None = None
         self._revision = 0
-        self._live_at = float('-inf')
+        self._seen_at = float('-inf')
         self._sums: dict[str, _Sum] = {}
+        self._fleet: _Sum | None = None
+        self._is_root = False
 
-    def publish(self, after: int, watched: kv.Watched, now: float) -> None:
-        """Take what a watch of the store brought."""
+    def lead(self, *, is_root: bool) -> None:
+        """Take whether this host adds up the loads of the whole fleet."""
+        self._is_root = is_root
+
+    def publish(self, after: int, watched: kv.Watched, seen_at: float) -> None:
+        """Take what a watch brought.
+
+        :param seen_at: when the store said so.
+        """
         if self._start is None or after > self._revision or watched.lost:
             # Changes may be missing in between.
             self._events.clear()
             self._start = after
         self._revision = watched.revision
-        self._live_at = float('-inf') if watched.lost else now
+        self._seen_at = float('-inf') if watched.lost else seen_at
         self._events.extend(
-            event for event in watched.events if self._is_new(event)
+            pack(event) for event in watched.events if self._is_new(event)
         )
         while len(self._events) > _KEPT_EVENTS:
             self._start = self._events.popleft().revision
 
     def fail(self) -> None:
         """Note that the store does not answer: others must not rely on it."""
-        self._live_at = float('-inf')
+        self._seen_at = float('-inf')
 
     def is_live(self, now: float) -> bool:
         """Whether the store has answered a moment ago."""
-        return self._start is not None and now - self._live_at < _LIVE_S
+        return self._start is not None and now - self._seen_at < _LIVE_S
 
     def answer(
         self, report: Report, own: dict[str, int], now: float
@@ -101,27 +151,38 @@
 
         :param own: running requests of this host.
         """
-        self._sums[report.host] = _Sum(now, report.loads, report.is_relay)
+        self._sums[report.host] = _Sum(now, report.loads, report.is_root)
         if not self.is_live(now):
             return None
-        totals = self._add(own, now, with_relays=True)
+        totals = self.totals(own, now)
+        age_s = now - self._seen_at
         if self._start is None or report.after < self._start:
-            return Digest(report.after, (), totals, is_lost=True)
+            return Digest(report.after, (), totals, age_s, is_lost=True)
         news = tuple(
             event for event in self._events if event.revision > report.after
         )
-        return Digest(max(self._revision, report.after), news, totals)
+        return Digest(max(self._revision, report.after), news, totals, age_s)
+
+    def take_totals(self, totals: dict[str, int], now: float) -> None:
+        """Take the loads of the whole fleet from the host that was asked."""
+        if totals:
+            self._fleet = _Sum(now, totals, is_root=True)
 
     def subtotal(self, own: dict[str, int], now: float) -> dict[str, int]:
-        """Return the loads of this host and of those that report to it."""
-        return self._add(own, now, with_relays=False)
+        """Return the loads of this host and of its followers."""
+        return self._add(own, now, with_roots=False)
 
     def totals(self, own: dict[str, int], now: float) -> dict[str, int]:
-        """Return the loads of the whole fleet."""
-        return self._add(own, now, with_relays=True)
+        """Return the loads of the whole fleet; empty when not known."""
+        if self._is_root:
+            return self._add(own, now, with_roots=True)
+        fleet = self._fleet
+        if fleet is not None and now - fleet.at < _SUM_EXPIRY_S:
+            return fleet.loads
+        return {}
 
     def _add(
-        self, own: dict[str, int], now: float, *, with_relays: bool
+        self, own: dict[str, int], now: float, *, with_roots: bool
     ) -> dict[str, int]:
         self._sums = {
             host: one
@@ -130,7 +191,7 @@
         }
         added = collections.Counter(own)
         for one in self._sums.values():
-            if with_relays or not one.is_relay:
+            if with_roots or not one.is_root:
                 added.update(one.loads)
         return dict(added)
 
--- a/papayaloom/process/relay_watch.py
+++ b/papayaloom/process/relay_watch.py
@@ -1,25 +1,33 @@
-"""Watches the store, itself or through a relay host."""
+"""Follows the store's changes, itself or through other hosts."""
 
 import threading
 import time
 import typing
+import zlib
 
 import msgspec
 import structlog
 import urllib3
 
-from papayaloom import errors, hashing
+from papayaloom import errors
 from papayaloom.ports import kv
-from papayaloom.process import fleet_hosts, relay
+from papayaloom.process import fleet_hosts, relay, relay_plan
 
 PATH = '/exchange'
-WATCH_WAIT_S = 1.0
-_log = structlog.get_logger('relay')
+# In a large fleet others wait for what this host learns, and a call that
+# hangs must be given up soon.
+_ALONE_WAIT_S = 1.0
+_FLEET_WAIT_S = 0.5
 _TIMEOUT_S = 0.5
-_AVOID_S = 4.0
+# A host that hangs costs each try a timeout; one that is out of touch says so.
+_HANGING_AVOID_S = 4.0
+_REFUSING_AVOID_S = 1.0
 _OK = 200
 
 
+_log = structlog.get_logger('relay')
+
+
 class Loads(typing.Protocol):
     """Way to the loads of this host."""
 
@@ -59,20 +67,24 @@
     def watch(self, after: int) -> kv.Watched:
         """Return the changes after a revision.
 
-        :raises papayaloom.errors.StoreUnavailableError: neither a relay nor
-            the store answers.
+        :raises papayaloom.errors.StoreUnavailableError: neither another host
+            nor the store answers.
         """
-        relays = self._relays()
-        if self._me in {host.name for host in relays} or not relays:
-            return self._watch_store(after, relays)
-        for host in relays:
-            digest = self._exchange(host, after, self._loads.own_loads())
-            if digest is not None:
-                self._loads.share_loads(digest.totals)
-                return kv.Watched(
-                    digest.events, digest.revision, digest.is_lost
-                )
-        return self._watch_store(after, ())
+        plan = relay_plan.plan(self._me, self._hosts.all(), self._avoid())
+        is_root = plan.role is relay_plan.Role.ROOT
+        with self._lock:
+            self._relay.lead(is_root=is_root)
+        for host in plan.sources:
+            watched = self._follow(host, after)
+            if watched is not None:
+                return watched
+        is_alone = plan.role is relay_plan.Role.ALONE
+        watched = self._watch_store(
+            after, _ALONE_WAIT_S if is_alone else _FLEET_WAIT_S
+        )
+        if is_root:
+            self._add_up(watched.revision, plan.peers)
+        return watched
 
     def answer(self, content: bytes) -> bytes:
         """Answer another host; empty when this one can't help.
@@ -88,58 +100,61 @@
             digest = self._relay.answer(report, own, time.monotonic())
         return b'' if digest is None else msgspec.msgpack.encode(digest)
 
-    def _watch_store(
-        self, after: int, relays: typing.Sequence[fleet_hosts.Host]
-    ) -> kv.Watched:
+    def _avoid(self) -> set[str]:
+        now = time.monotonic()
+        return {name for name, until in self._avoided.items() if until > now}
+
+    def _watch_store(self, after: int, wait_s: float) -> kv.Watched:
         try:
-            watched = self._store.watch('', after, WATCH_WAIT_S)
+            watched = self._store.watch('', after, wait_s)
         except errors.StoreUnavailableError:
             with self._lock:
                 self._relay.fail()
             raise
         with self._lock:
             self._relay.publish(after, watched, time.monotonic())
-        self._tell_relays(watched.revision, relays)
         return watched
 
-    def _tell_relays(
-        self, revision: int, relays: typing.Sequence[fleet_hosts.Host]
+    def _follow(self, host: fleet_hosts.Host, after: int) -> kv.Watched | None:
+        """Return what another host knows, and pass it on."""
+        asked_at = time.monotonic()
+        own = self._loads.own_loads()
+        with self._lock:
+            loads = self._relay.subtotal(own, asked_at)
+        digest = self._exchange(host, relay.Report(self._me, after, loads))
+        if digest is None:
+            return None
+        try:
+            events = tuple(relay.unpack(one) for one in digest.events)
+        except zlib.error as exc:
+            self._avoid_for(host, _HANGING_AVOID_S, str(exc))
+            return None
+        watched = kv.Watched(events, digest.revision, digest.is_lost)
+        with self._lock:
+            self._relay.publish(after, watched, asked_at - digest.age_s)
+            self._relay.take_totals(digest.totals, asked_at)
+        if digest.totals:
+            self._loads.share_loads(digest.totals)
+        return watched
+
+    def _add_up(
+        self, revision: int, peers: typing.Sequence[fleet_hosts.Host]
     ) -> None:
-        if not relays:
-            return
+        """Tell the other roots this host's sums, and use those of the fleet."""
         own = self._loads.own_loads()
         with self._lock:
-            subtotal = self._relay.subtotal(own, time.monotonic())
-        for host in relays:
-            if host.name != self._me:
-                self._exchange(host, revision, subtotal, is_relay=True)
+            loads = self._relay.subtotal(own, time.monotonic())
+        for host in peers:
+            report = relay.Report(self._me, revision, loads, is_root=True)
+            self._exchange(host, report)
         with self._lock:
             totals = self._relay.totals(own, time.monotonic())
         self._loads.share_loads(totals)
 
-    def _relays(self) -> list[fleet_hosts.Host]:
-        """Return the relays in the order in which this host asks them."""
-        hosts = self._hosts.all()
-        if len(hosts) <= relay.MOST_WATCHING:
-            return []
-        by_name = {host.name: host for host in hosts if host.control}
-        names = hashing.rank('relay', by_name, relay.RELAYS)
-        if self._me in names:
-            return [by_name[name] for name in names]
-        now = time.monotonic()
-        usable = [one for one in names if self._avoided.get(one, 0) <= now]
-        order = hashing.rank(self._me, usable, len(usable))
-        return [by_name[name] for name in order]
-
     def _exchange(
-        self,
-        host: fleet_hosts.Host,
-        after: int,
-        loads: dict[str, int],
-        *,
-        is_relay: bool = False,
+        self, host: fleet_hosts.Host, report: relay.Report
     ) -> relay.Digest | None:
-        report = relay.Report(self._me, after, loads, is_relay)
+        avoid_s = _HANGING_AVOID_S
         try:
             reply = self._pool.request(
                 'POST',
@@ -150,8 +165,14 @@
             if reply.status == _OK:
                 return msgspec.msgpack.decode(reply.data, type=relay.Digest)
             reason = f'status {reply.status}'
+            avoid_s = _REFUSING_AVOID_S
         except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as exc:
             reason = str(exc)
-        self._avoided[host.name] = time.monotonic() + _AVOID_S
-        _log.info('relay: no answer', host=host.name, reason=reason)
+        self._avoid_for(host, avoid_s, reason)
         return None
+
+    def _avoid_for(
+        self, host: fleet_hosts.Host, seconds: float, reason: str
+    ) -> None:
+        self._avoided[host.name] = time.monotonic() + seconds
+        _log.info('relay: no answer', host=host.name, reason=reason)
--- a/papayaloom/version/routes.py
+++ b/papayaloom/version/routes.py
@@ -59,16 +59,6 @@
         return self.kind is Kind.IDEMPOTENT or self.is_resumable
 
 
-class Service(msgspec.Struct, frozen=True):
-    """A service with its limits.
-
-    :param max_connections: most connections that a replica accepts.
-    """
-
-    name: ids.ServiceId
-    max_connections: int = 0
-
-
 class Organisation(msgspec.Struct, frozen=True):
     """An organisation with its keys.
 
@@ -94,7 +84,6 @@
 
     version: int
     routes: tuple[Route, ...]
-    services: tuple[Service, ...] = ()
     organisations: tuple[Organisation, ...] = ()
     limits: CallerLimits = CallerLimits()
 
@@ -110,7 +99,6 @@
         self.version = tables.version
         self.limits = tables.limits
         self.needs_keys = bool(tables.organisations)
-        self.services = {one.name: one for one in tables.services}
         self._by_host: dict[str, list[Route]] = {}
         for route in tables.routes:
             self._by_host.setdefault(route.host.lower(), []).append(route)
