A host that knows nothing finds the store's return sooner, and says honestly when

Change: a connection to the store is given up after 0.35 s instead of 1 s; the first listing is tried again after 0.15 s; seeds are asked on a thread of their own (three seeds without power held the feed up for 1.2 s); a host whose store is away asks callers to return in 1.2 to 2.4 s, spread at random.

Three scenarios, each failing before.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -108,3 +108,18 @@
     And a store that is away
     And a second forwarding router with the first as its seed
     Then within 3 s the second one answers "/calls/x" with 200
+
+  Scenario: A host without the store asks callers to come back when it may serve
+    Given a forwarding router with a replica that answers "whole"
+    And a store that is away
+    And a second forwarding router without seeds
+    When the second one has missed the store
+    Then it refuses "/calls/x" with a Retry-After between 1 and 3 s
+
+  Scenario: Seeds without power do not keep a starting host from the store
+    Given a forwarding router with a replica that answers "whole"
+    And a store that is away
+    And a second forwarding router whose 3 seeds do not answer
+    When the second one has missed the store
+    And the store is back
+    Then within 0.7 s the second one answers "/calls/x" with 200
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -68,3 +68,8 @@
     And a watch of forgotten history says that it is lost
     When the stand-in refuses all calls
     Then a read says that the store is unavailable
+
+  Scenario: A store without power is given up soon, so that its return is not missed
+    Given an address that takes no connections and refuses none
+    When the platform's store there is asked for a key
+    Then the call fails within 0.6 s
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,5 +1,6 @@
 import contextlib
 import http.client
+import socket
 import threading
 import time
 
@@ -297,10 +298,45 @@
 
 
 @behave.then(
-    'within {seconds:d} s the second one answers "{path}" with {status:d}'
+    'within {seconds:g} s the second one answers "{path}" with {status:d}'
 )
 def second_answers(context, seconds, path, status):
     def answered():
         return fleets.ask(context.second, 'GET', path).status == status
 
     assert fleets.until(seconds, answered)
+
+
+@behave.given('a second forwarding router without seeds')
+def second_without_seeds(context):
+    context.second = context.fleet.start_router([])
+
+
+@behave.given('a second forwarding router whose {count:d} seeds do not answer')
+def second_with_silent_seeds(context, count):
+    seeds = []
+    for _ in range(count):
+        silent = socket.create_server(('127.0.0.1', 0))
+        context.add_cleanup(silent.close)
+        seeds.append(silent.getsockname())
+    context.second = context.fleet.start_router(seeds)
+
+
+@behave.when('the second one has missed the store')
+def second_missed(context):
+    # The first call at the start and one more.
+    time.sleep(0.6)
+
+
+@behave.when('the store is back')
+def store_back(context):
+    context.fleet.twin.faults.outage = False
+
+
+@behave.then(
+    'it refuses "{path}" with a Retry-After between {least:g} and {most:g} s'
+)
+def refuses_with(context, path, least, most):
+    answer = fleets.ask(context.second, 'GET', path)
+    assert answer.status == 503, answer.status
+    assert least <= float(answer.headers['Retry-After']) <= most, answer.headers
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,4 +1,6 @@
+import socket
 import threading
+import time
 
 import behave
 
@@ -212,3 +214,36 @@
     except errors.StoreUnavailableError:
         return
     raise AssertionError('the outage was not noticed')
+
+
+@behave.given('an address that takes no connections and refuses none')
+def full_backlog(context):
+    listener = socket.socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen(0)
+    context.add_cleanup(listener.close)
+    context.address = listener.getsockname()
+    # Fills the queue of connections that wait to be accepted.
+    for _ in range(4):
+        waiting = socket.socket()
+        waiting.setblocking(False)
+        waiting.connect_ex(context.address)
+        context.add_cleanup(waiting.close)
+    time.sleep(0.1)
+
+
+@behave.when("the platform's store there is asked for a key")
+def asked_for_key(context):
+    client = store.PlatformStore('%s:%d' % context.address)
+    begun = time.monotonic()
+    try:
+        client.get('a')
+    except errors.StoreUnavailableError:
+        context.took_s = time.monotonic() - begun
+        return
+    raise AssertionError('the store answered')
+
+
+@behave.then('the call fails within {seconds:g} s')
+def fails_within(context, seconds):
+    assert context.took_s < seconds, context.took_s
--- a/papayaloom/platform/store.py
+++ b/papayaloom/platform/store.py
@@ -14,6 +14,9 @@
 from papayaloom.ports import kv, store_http
 
 _TIMEOUT_S = 1.0
+# A store without power takes no connection; whoever tries on at once is served
+# as soon as it is back.
+_CONNECT_S = 0.35
 # Margin of the read timeout over the time that a watch may wait: a watch
 # whose connection has gone silent must not hide changes for long.
 _WATCH_MARGIN_S = 0.8
@@ -96,7 +99,7 @@
     def __init__(self, address: str, timeout_s: float = _TIMEOUT_S) -> None:
         """Prepare a pool; connects on the first call."""
         self._client = store_http.StoreClient(
-            f'http://{address}', timeout_s, _CONNECTIONS
+            f'http://{address}', timeout_s, _CONNECTIONS, _CONNECT_S
         )
 
     def get(self, key: str) -> kv.Entry | None:
--- a/papayaloom/ports/store_http.py
+++ b/papayaloom/ports/store_http.py
@@ -20,14 +20,22 @@
     """Connections to one store; thread-safe.
 
     :param url: base URL.
-    :param timeout_s: longest wait for a connection and for an answer.
+    :param timeout_s: longest wait for an answer.
     :param connections: idle connections that are kept.
+    :param connect_s: longest wait for a connection; ``timeout_s`` without it.
     """
 
-    def __init__(self, url: str, timeout_s: float, connections: int) -> None:
+    def __init__(
+        self,
+        url: str,
+        timeout_s: float,
+        connections: int,
+        connect_s: float | None = None,
+    ) -> None:
         """Prepare a pool; connects on the first call."""
         self._url = url.rstrip('/')
         self._timeout_s = timeout_s
+        self._connect_s = connect_s or timeout_s
         self._pool = urllib3.PoolManager(retries=False, maxsize=connections)
 
     def call(
@@ -52,7 +60,7 @@
                 body=body,
                 headers={'Content-Type': 'application/json'} if body else {},
                 timeout=urllib3.Timeout(
-                    connect=self._timeout_s, read=timeout_s or self._timeout_s
+                    connect=self._connect_s, read=timeout_s or self._timeout_s
                 ),
                 retries=False,
                 redirect=False,
--- a/papayaloom/process/catch_up.py
+++ b/papayaloom/process/catch_up.py
@@ -4,6 +4,8 @@
 every request, although its neighbours could tell it.
 """
 
+import threading
+
 import structlog
 import urllib3
 
@@ -33,15 +35,23 @@
         self._pool = urllib3.PoolManager(
             retries=False, timeout=urllib3.Timeout(_TIMEOUT_S)
         )
+        self._is_asking = threading.Lock()
 
-    def ask(self) -> bool:
-        """Take the snapshot of the first host that has one.
+    def begin(self) -> None:
+        """Look for a host with a snapshot, on a thread of its own.
 
-        :returns: whether one was taken.
+        Hosts without power keep it waiting, and the store may be back sooner.
         """
-        if self._view.table is not None:
-            return True
-        return any(self._ask(host, port) for host, port in self._addresses)
+        if self._view.table is None and self._is_asking.acquire(blocking=False):
+            threading.Thread(
+                target=self._run, name='catch-up', daemon=True
+            ).start()
+
+    def _run(self) -> None:
+        try:
+            any(self._ask(host, port) for host, port in self._addresses)
+        finally:
+            self._is_asking.release()
 
     def _ask(self, host: str, port: int) -> bool:
         url = f'http://{host}:{port}{PATH}'
@@ -49,7 +59,8 @@
             reply = self._pool.request('GET', url, redirect=False)
             if reply.status != _OK:
                 return False
-            self._view.restore(reply.data)
+            if self._view.table is None:
+                self._view.restore(reply.data)
         except (urllib3.exceptions.HTTPError, errors.CodecError) as exc:
             _log.info('catch-up: no snapshot', host=host, reason=str(exc))
             return False
--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -18,6 +18,8 @@
 _log = structlog.get_logger('feed')
 PAUSE_S = 0.35
 _RETRY_S = 0.25
+# A host that knows nothing serves nobody.
+_FIRST_RETRY_S = 0.15
 _PAGE = 500
 
 
@@ -38,7 +40,8 @@
 class Health(msgspec.Struct, frozen=True):
     """Who is told whether the store answers.
 
-    :param catch_up: asks the other hosts while nothing was listed yet.
+    :param catch_up: begins to ask the other hosts while nothing was listed
+        yet; does not wait for them.
     """
 
     answered: typing.Callable[[], object]
@@ -70,6 +73,7 @@
         self._stopping = threading.Event()
         self._revision: int | None = None
         self._is_lost = False
+        self._was_listed = False
 
     def start(self) -> None:
         """Run the thread."""
@@ -86,6 +90,7 @@
         """
         if self._revision is None:
             self._revision = self._list()
+            self._was_listed = True
             return
         watched = self._watch(self._revision)
         if watched.lost:
@@ -102,7 +107,8 @@
                 self.step()
             except errors.StoreUnavailableError as exc:
                 self._failed(exc)
-                self._stopping.wait(self._rng.uniform(0.5, 1.5) * _RETRY_S)
+                retry_s = _RETRY_S if self._was_listed else _FIRST_RETRY_S
+                self._stopping.wait(self._rng.uniform(0.5, 1.5) * retry_s)
                 continue
             except Exception:
                 # The thread must go on: without it this host would keep to
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -41,7 +41,9 @@
 _SPARE_THREADS = 8
 _GROWTH = 16
 _STOP_TICK_S = 0.1
-_UNKNOWN_RETRY_S = 0.3
+# A start takes that long with the store; without it, nobody knows.
+_STARTING_RETRY_S = 0.3
+_AWAY_RETRY_S = (1.2, 2.4)
 _STOPPING_RETRY_S = 0.1
 # Idle callers reuse a connection for most of the declared time.
 _IDLE_MARGIN_S = 10
@@ -120,7 +122,7 @@
             feed.Health(
                 self._view.store_answered,
                 self._view.store_failed,
-                catch_up.Seeds(cfg.seeds, self._view).ask,
+                catch_up.Seeds(cfg.seeds, self._view).begin,
             ),
             self._rng,
         )
@@ -319,12 +321,23 @@
     def _admit(self, inbound: ingress.Inbound) -> routes.RouteTable:
         table = self._view.table
         if table is None:
-            raise _refused('no route table is known yet', 503, _UNKNOWN_RETRY_S)
+            raise _refused(
+                'no route table is known yet', 503, self._unknown_retry_s()
+            )
         if self._state() not in _FORWARDING:
             inbound.close_after()
             raise _refused('this host is stopping', 503, _STOPPING_RETRY_S)
         return table
 
+    def _unknown_retry_s(self) -> float:
+        """Return when to come back to a host without a route table.
+
+        Spread, so that callers of an outage do not return together.
+        """
+        if self._view.is_store_away:
+            return self._rng.uniform(*_AWAY_RETRY_S)
+        return _STARTING_RETRY_S
+
     def _sweep(self) -> None:
         self._pool.sweep()
         self._view.tick()
--- a/papayaloom/standins/platform_store.py
+++ b/papayaloom/standins/platform_store.py
@@ -67,7 +67,9 @@
         return http.HTTPStatus.OK, _item(entry)
 
     def _range(self, query: _Query) -> _Reply:
-        page = self._store.list_prefix(query.get('prefix', ''), query.get('after', ''))
+        page = self._store.list_prefix(
+            query.get('prefix', ''), query.get('after', '')
+        )
         return http.HTTPStatus.OK, {
             'items': [_item(entry) for entry in page.entries],
             'morePages': page.more,
