--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -5,9 +5,6 @@
 :mod:`papayaloom.process.dispatch`.
 """
 
-import time
-
-import h11
 import msgspec
 import result
 import structlog
@@ -17,6 +14,7 @@
 from papayaloom.process import (
     dispatch,
     dispatch_actor,
+    forward_attempt,
     forward_job,
     replicas,
     spread,
@@ -24,8 +22,6 @@
 from papayaloom.request import forwarding, onward
 
 _log = structlog.get_logger('forward')
-_MAX_ANSWER_BYTES = 8_388_608
-_SERVER_ERROR = 500
 _NOT_RUN = errors.Verdict.NOT_RUN
 _MAY_HAVE_RUN = errors.Verdict.MAY_HAVE_RUN
 
@@ -38,9 +34,6 @@
     pool: idle_pool.IdlePool
 
 
-Outcome = result.Result[int, forward_job.Failure]
-
-
 class Forwarder:
     """Forwards requests; thread-safe."""
 
@@ -82,7 +75,9 @@
         )
         return self._parts.desk.place(wanted)
 
-    def _attempt(self, job: forward_job.Job, choice: spread.Choice) -> Outcome:
+    def _attempt(
+        self, job: forward_job.Job, choice: spread.Choice
+    ) -> forward_attempt.Outcome:
         replica = choice.replica
         job.tried.add(replica.id)
         failure: forward_job.Failure | None = None
@@ -99,7 +94,9 @@
         self._ended(job, replica, failure)
         return outcome
 
-    def _exchange(self, job: forward_job.Job, choice: spread.Choice) -> Outcome:
+    def _exchange(
+        self, job: forward_job.Job, choice: spread.Choice
+    ) -> forward_attempt.Outcome:
         replica = choice.replica
         try:
             conn = self._connect(job, replica)
@@ -108,7 +105,9 @@
                 forward_job.Failure(_NOT_RUN, str(exc), is_unreachable=True)
             )
         try:
-            outcome = self._run(job, choice, conn)
+            outcome = forward_attempt.Attempt(
+                job, choice, conn, self._parts.desk, self._parts.dialect
+            ).run()
         except errors.UpstreamError as exc:
             conn.close()
             has_run = exc.verdict is not _NOT_RUN
@@ -137,147 +136,6 @@
         )
         return conn or channel.Channel(replica.address)
 
-    def _run(
-        self, job: forward_job.Job, choice: spread.Choice, conn: channel.Channel
-    ) -> Outcome:
-        replica = choice.replica
-        head = self._head(job, choice)
-        conn.send(head, job.inbound.body)
-        wait_s = forwarding.answer_wait_s(job.route, job.progress, job.left_s())
-        until = time.monotonic() + wait_s
-        while True:
-            response = conn.receive_head(until, job.inbound.caller_fd)
-            marks = self._parts.dialect.read_answer(
-                response.status_code, list(response.headers.raw_items())
-            )
-            if marks.load is not None:
-                self._parts.desk.reported(replica.id, marks.load)
-            conn.idle_s = marks.idle_s or conn.idle_s
-            if marks.request_id in {'', job.asked.request_id}:
-                break
-            # A late or doubled answer to an earlier request.
-            self._read_body(job, conn, until)
-            conn.skip_answer(head)
-        if marks.is_not_run:
-            self._read_body(job, conn, until)
-            return result.Err(
-                forward_job.Failure(
-                    _NOT_RUN, f'refused with {response.status_code}'
-                )
-            )
-        if not marks.receipt or marks.is_encoded:
-            raise errors.UpstreamError('no receipt', _MAY_HAVE_RUN)
-        if forward_job.is_event_stream(job, response):
-            return self._stream(job, conn, response, until)
-        return self._whole(job, conn, response, until)
-
-    def _head(
-        self, job: forward_job.Job, choice: spread.Choice
-    ) -> channel.Head:
-        last = job.joiner.last
-        sent = onward.Onward(
-            left_s=job.left_s(),
-            replica=choice.replica.id,
-            organisation=job.organisation,
-            last_event_id='' if last is None else str(last),
-            priority=job.priority,
-            body_bytes=len(job.inbound.body),
-            copy_from=forward_job.address(choice.source),
-        )
-        return channel.Head(
-            job.inbound.method,
-            job.inbound.target,
-            self._parts.dialect.upstream_headers(job.inbound.headers, sent),
-        )
-
-    def _whole(
-        self,
-        job: forward_job.Job,
-        conn: channel.Channel,
-        response: h11.Response,
-        until: float,
-    ) -> Outcome:
-        content = self._read_body(job, conn, until)
-        answer = forward_job.Answer(
-            response.status_code,
-            self._parts.dialect.caller_headers(
-                list(response.headers.raw_items())
-            ),
-            content,
-        )
-        if answer.status >= _SERVER_ERROR:
-            job.failed = answer
-            if job.route.is_repeatable and not job.progress.has_begun:
-                why = f'the replica failed with {answer.status}'
-                return result.Err(forward_job.Failure(_MAY_HAVE_RUN, why, True))
-        if job.progress.has_begun:
-            why = f'the stream went on with {answer.status}'
-            return result.Err(forward_job.Failure(_MAY_HAVE_RUN, why))
-        forward_job.deliver(job, answer)
-        return result.Ok(answer.status)
-
-    def _read_body(
-        self, job: forward_job.Job, conn: channel.Channel, until: float
-    ) -> bytes:
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            part = conn.receive_part(until, job.inbound.caller_fd)
-            if part is None:
-                return b''.join(parts)
-            parts.append(part)
-            size += len(part)
-            if size > _MAX_ANSWER_BYTES:
-                raise errors.UpstreamError('answer too long', _MAY_HAVE_RUN)
-
-    def _stream(
-        self,
-        job: forward_job.Job,
-        conn: channel.Channel,
-        response: h11.Response,
-        until: float,
-    ) -> Outcome:
-        job.joiner.restart()
-        while True:
-            part = conn.receive_part(until, job.inbound.caller_fd)
-            if part is None:
-                break
-            try:
-                content = job.joiner.feed(part)
-            except errors.CodecError as exc:
-                raise errors.UpstreamError(str(exc), _MAY_HAVE_RUN) from exc
-            if content:
-                self._pass_on(job, response, content)
-                pause_s = forwarding.pause_s(
-                    job.route, job.progress, job.left_s()
-                )
-                until = time.monotonic() + pause_s
-        if job.joiner.is_torn:
-            raise errors.UpstreamError('ended inside an event', _MAY_HAVE_RUN)
-        if not job.progress.has_begun:
-            self._begin(job, response)
-        return result.Ok(response.status_code)
-
-    def _pass_on(
-        self, job: forward_job.Job, response: h11.Response, content: bytes
-    ) -> None:
-        if not job.progress.has_begun:
-            self._begin(job, response)
-        try:
-            job.inbound.write(content)
-        except OSError as exc:
-            raise channel.CallerGoneError(f'not written: {exc}') from exc
-
-    def _begin(self, job: forward_job.Job, response: h11.Response) -> None:
-        job.progress.has_begun = True
-        headers = self._parts.dialect.caller_headers(
-            list(response.headers.raw_items())
-        )
-        try:
-            job.inbound.begin(response.status_code, headers)
-        except OSError as exc:
-            raise channel.CallerGoneError(f'not written: {exc}') from exc
-
     def _ended(
         self,
         job: forward_job.Job,
