The first listing is hedged

Change: the first listing is asked again every 0.35 s (process/hedging.py), and after the first miss the host says that its store is away: callers come back in 1.2 to 2.4 s and seeds are asked. Log lines of placements name the prefix.

Tried before this: a read timeout of 0.4 s, ruled out because a slow store (96 x 4 ms) or a long route table over 5 Mbit/s takes longer.

--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -14,12 +14,15 @@
 
 from papayaloom import errors
 from papayaloom.ports import kv
+from papayaloom.process import hedging
 
 _log = structlog.get_logger('feed')
 PAUSE_S = 0.35
 _RETRY_S = 0.25
 # A host that knows nothing serves nobody.
 _FIRST_RETRY_S = 0.15
+_FIRST_HEDGE_S = 0.35
+_FIRST_CALLS = 4
 _PAGE = 500
 
 
@@ -49,6 +52,11 @@
     catch_up: typing.Callable[[], object]
 
 
+class _Listing(msgspec.Struct, frozen=True):
+    entries: list[kv.Entry]
+    revision: int
+
+
 class Feed:
     """Thread that lists the sources once and then follows their changes."""
 
@@ -90,7 +98,6 @@
         """
         if self._revision is None:
             self._revision = self._list()
-            self._was_listed = True
             return
         watched = self._watch(self._revision)
         if watched.lost:
@@ -136,6 +143,28 @@
             self._health.catch_up()
 
     def _list(self) -> int:
+        if self._was_listed:
+            listing = self._fetch()
+        else:
+            listing = hedging.first(
+                self._fetch, _FIRST_HEDGE_S, _FIRST_CALLS, self._late
+            )
+        self._health.answered()
+        for source in self._sources:
+            source.replace(
+                [
+                    one
+                    for one in listing.entries
+                    if one.key.startswith(source.prefix)
+                ]
+            )
+        self._was_listed = True
+        return listing.revision
+
+    def _late(self) -> None:
+        self._failed(errors.StoreUnavailableError('no answer yet'))
+
+    def _fetch(self) -> _Listing:
         """List all sources at once: each call has its price."""
         entries: list[kv.Entry] = []
         after = ''
@@ -149,12 +178,7 @@
             if not page.more or not page.entries:
                 break
             after = page.entries[-1].key
-        self._health.answered()
-        for source in self._sources:
-            source.replace(
-                [one for one in entries if one.key.startswith(source.prefix)]
-            )
-        return revision
+        return _Listing(entries, revision)
 
     def _dispatch(self, event: kv.Event) -> None:
         for source in self._sources:
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -170,6 +170,7 @@
             route=job.route.name,
             version=job.version,
             replica=choice.replica.id,
+            prefix=forward_job.shared_prefix(job),
             load=round(choice.load, 1),
             mean=round(choice.mean, 1),
             copy_from=choice.source.id if choice.source else '',
