Routers place by what the others do meanwhile, not by old loads alone

A model in virtual time (features/ placement_model.py; 80 or 84 routers, sums 0.6 s old) shows why: all routers see the same emptiest replica, or the same room under the bound, and fill it together. Above 2 x mean + 3 arrived 13.1 and 21.3 in 100 plain calls, 16.2 and 19.2 in 100 streams with a hot prefix, and 3.9 with 6 routers.

Change: hosts also tell each other their rates of arrival (process/census.py). A router fades old loads by the time that a request stays (Little's law), levels plain calls over all replicas together with the unseen ones of the others, and gives a preferred replica only the part of its requests that fits under the bound, less two deviations (process/spread.py).

Ruled out: own rates alone (a router sees 1 in 84 requests; 6.6 and 7.6 in 100 in the model), one deviation (4.1 and 6.3), 1.5 (2.2 and 4.4). Model now: 1.7, 1.9, 0.0 in 100 streams, plain calls within 3.

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -57,3 +57,26 @@
     When the fleet runs 9 at the first replica for "care-7" and 1 at each other
     And a request with the prefix "care-7" is placed
     Then it goes to the second replica in rank, which copies from the first
+
+  Scenario Outline: Routers that read the same old sums do not run to the emptiest replica together
+    Given a fleet of <routers> routers, each with <replicas> replicas
+    When they hear sums every <share> s, <lag> s old, while <per_s> plain calls a second of <work> s arrive for 20 s
+    Then at most 3 in 100 reach a replica above twice the mean load and 3 more
+
+    Examples: plain services of the grown deployments, and a small one
+      | routers | replicas | share | lag | per_s | work  |
+      | 84      | 3        | 0.4   | 0.6 | 134   | 0.045 |
+      | 80      | 4        | 0.4   | 0.6 | 200   | 0.07  |
+      | 360     | 12       | 0.4   | 1   | 900   | 0.045 |
+
+  Scenario Outline: A hot prefix stays under the bound although the sums are old
+    Given a fleet of <routers> routers, each with <replicas> replicas
+    When they hear sums every <share> s, <lag> s old, while <per_s> streams a second of <work> s arrive for 20 s, <hot> in 100 of them with one prefix
+    Then at most 3 in 100 reach a replica above twice the mean load and 3 more
+
+    Examples: model replicas of the grown deployments and of a small one
+      | routers | replicas | share | lag | per_s | work | hot |
+      | 80      | 30       | 0.4   | 0.6 | 206   | 0.9  | 1   |
+      | 80      | 30       | 0.4   | 0.6 | 206   | 0.9  | 20  |
+      | 84      | 70       | 0.4   | 0.6 | 384   | 0.7  | 18  |
+      | 6       | 9        | 0.4   | 0.4 | 26    | 1    | 24  |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -12,6 +12,7 @@
 from papayaloom.connection import caller, ingress
 from papayaloom.ports import kv
 from papayaloom.process import (
+    census,
     fleet_hosts,
     relay,
     relay_plan,
@@ -30,8 +31,8 @@
 
 
 def ask(context, revision, host='h1', loads=None, is_root=False):
-    report = relay.Report(host, revision, loads or {}, is_root)
-    return context.relay.answer(report, {}, context.now)
+    report = relay.Report(host, revision, census.Census(loads or {}), is_root)
+    return context.relay.answer(report, census.Census(), context.now)
 
 
 @behave.given('a relay that watches from revision {revision:d}')
@@ -100,21 +101,23 @@
     'with {own:d} of its own the relay\'s total for "{name}" is {total:d} and its subtotal {subtotal:d}'
 )
 def sums(context, own, name, total, subtotal):
-    loads = {name: own}
-    assert context.relay.totals(loads, context.now)[name] == total
-    assert context.relay.subtotal(loads, context.now)[name] == subtotal
+    mine = census.Census({name: own})
+    totals = context.relay.totals(mine, context.now)
+    assert totals.running[name] == total
+    followers = context.relay.subtotal(mine, context.now)
+    assert followers.running[name] == subtotal
 
 
 class Loads:
     """Loads of a host, without a decision state behind them."""
 
     def __init__(self):
-        self.totals = {}
+        self.totals = None
 
-    def own_loads(self):
-        return {'a': 1}
+    def own_census(self):
+        return census.Census({'a': 1})
 
-    def share_loads(self, totals):
+    def share_census(self, totals):
         self.totals = totals
 
 
@@ -192,7 +195,7 @@
 def from_relay(context):
     assert [one.value for one in context.watched.events] == [b'x 1']
     assert context.twin.counts.reads == context.reads_before
-    assert context.follower_loads.totals == {'a': 2}
+    assert context.follower_loads.totals.running == {'a': 2}
 
 
 @behave.when("the relay's process ends")
@@ -315,12 +318,14 @@
 @behave.then('the totals that it passes on are {totals}')
 def passes_totals(context, totals):
     digest = ask(context, 10, loads={'a': 3})
-    assert digest.totals == json.loads(totals), digest.totals
+    running = digest.totals.running if digest.totals else {}
+    assert running == json.loads(totals), digest.totals
 
 
 @behave.when('the host that it follows says that the fleet has {totals}')
 def follows_totals(context, totals):
-    context.relay.take_totals(json.loads(totals), context.now)
+    totals = census.Census(json.loads(totals))
+    context.relay.take_totals(totals, context.now)
 
 
 @behave.when('the store changes a value of {size:d} similar bytes')
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -3,8 +3,9 @@
 import behave
 import result
 
+from features import placement_model
 from papayaloom import hashing, ids
-from papayaloom.process import dispatch, replicas
+from papayaloom.process import census, dispatch, replicas
 
 SERVICE = ids.ServiceId('pool')
 
@@ -224,7 +225,7 @@
 def fleet_loads(context, high, prefix, low):
     context.order = ranked(context, prefix)
     totals = dict.fromkeys(context.names, low) | {context.order[0]: high}
-    context.routers[0].share_loads(totals, context.now)
+    context.routers[0].share_census(census.Census(totals), context.now)
 
 
 @behave.then(
@@ -233,3 +234,38 @@
 def second_in_rank(context):
     assert context.choice.replica.id == context.order[1]
     assert context.choice.source.id == context.order[0]
+
+
+@behave.when(
+    'they hear sums every {share:g} s, {lag:g} s old, while {per_s:d} plain calls a second of {work:g} s arrive for {seconds:d} s'
+)
+def plain_by_old_sums(context, share, lag, per_s, work, seconds):
+    load = placement_model.Load(per_s, work)
+    play(context, load, share, lag, seconds)
+
+
+@behave.when(
+    'they hear sums every {share:g} s, {lag:g} s old, while {per_s:d} streams a second of {work:g} s arrive for {seconds:d} s, {hot:d} in 100 of them with one prefix'
+)
+def streams_by_old_sums(context, share, lag, per_s, work, seconds, hot):
+    prefixes = {f'p{number}': 1 for number in range(100)}
+    prefixes['hot'] = 100 * hot / (100 - hot)
+    load = placement_model.Load(per_s, work, prefixes)
+    play(context, load, share, lag, seconds)
+
+
+def play(context, load, share, lag, seconds):
+    context.model = placement_model.Model(
+        context.routers, context.names, SERVICE, load, share, lag
+    )
+    context.model.run(seconds)
+
+
+@behave.then(
+    'at most {most:g} in 100 reach a replica above twice the mean load and 3 more'
+)
+def share_above_bound(context, most):
+    model = context.model
+    assert model.placed > 500, model.placed
+    above = 100 * model.over / model.placed
+    assert above <= most, (above, model.most)
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -10,7 +10,14 @@
 import result
 
 from papayaloom import errors, ids
-from papayaloom.process import budgets, ejection, replicas, spread
+from papayaloom.process import (
+    arrival_rates,
+    budgets,
+    census,
+    ejection,
+    replicas,
+    spread,
+)
 from papayaloom.request import onward
 
 # A replica that could not be reached gets no new work for this long.
@@ -20,6 +27,9 @@
 _IDLE_SHARE = 0.35
 _RATIO_SHARE = 0.6
 _NO_BUDGET_S = 1.0
+_LEAST_WORK_S = 0.02
+_USUAL_WORK_S = 1.0
+_CENSUS_EXPIRY_S = 3.0
 
 
 class RepeatBound(msgspec.Struct, frozen=True):
@@ -102,6 +112,14 @@
         self._rng = rng
         self._loads = spread.Loads(cfg.spreading)
         self._hosts = hosts
+        self._fleet = census.Census()
+        self._fleet_at = float('-inf')
+        self._by_service: arrival_rates.ArrivalRates[ids.ServiceId] = (
+            arrival_rates.ArrivalRates()
+        )
+        self._by_first: arrival_rates.ArrivalRates[replicas.ReplicaId] = (
+            arrival_rates.ArrivalRates()
+        )
         self._budgets = budgets.Budgets(cfg.repeats.share(hosts))
         self._ejections: dict[ids.ServiceId, ejection.Ejection] = {}
         self._unreachable: dict[str, float] = {}
@@ -128,13 +146,17 @@
                     'the retry budget is spent', 503, retry_after_s=_NO_BUDGET_S
                 )
             )
+        offer = self._offer(wanted, candidates, now)
+        sight = self._loads.sighted([one.id for one in ready], now)
         choice = spread.choose(
-            self._offer(wanted, candidates, now),
-            self._loads.estimates([one.id for one in ready], now),
+            offer,
+            sight,
+            self._traffic(wanted.service, sight, now),
             wanted.prefix,
             self._cfg.spreading,
             self._rng,
         )
+        self._note(wanted, offer, now)
         chosen = choice.replica.id
         if ejections.standing(chosen, now) is ejection.Standing.TRIAL:
             ejections.try_out(chosen, now)
@@ -161,19 +183,26 @@
         """Take the load that a replica states."""
         self._loads.reported(replica, load, now)
 
-    def own_loads(self) -> dict[str, int]:
-        """Return the running requests of this router, by replica."""
-        return self._loads.own()
+    def own_census(self, now: float) -> census.Census:
+        """Return the requests of this router."""
+        return census.Census(
+            self._loads.own(),
+            self._by_first.counts(census.RATE_SPAN_S, now),
+            self._by_service.counts(census.RATE_SPAN_S, now),
+        )
 
-    def share_loads(self, totals: dict[str, int], now: float) -> None:
-        """Take the running requests of all routers, by replica."""
+    def share_census(self, totals: census.Census, now: float) -> None:
+        """Take the requests of all routers."""
         names = [one.id for one in self.replicas.dump()]
-        self._loads.shared(names, totals, now)
+        self._loads.shared(names, totals.running, now - census.TRAVEL_S)
+        self._fleet = totals
+        self._fleet_at = now
 
     def forget(self, gone: typing.Iterable[replicas.ReplicaId]) -> None:
         """Drop what is known of replicas that are gone or started anew."""
         for replica in gone:
             self._loads.forget(replica)
+            self._by_first.forget(replica)
             self._unreachable.pop(replica, None)
 
     def dump(self, now: float) -> dict[str, object]:
@@ -191,6 +220,41 @@
             'retries_left': self._budgets.dump(now),
         }
 
+    def _note(self, wanted: Wanted, offer: spread.Offer, now: float) -> None:
+        self._by_service.note(wanted.service, now)
+        if wanted.prefix:
+            first = spread.rank(offer, wanted.prefix)[0]
+            self._by_first.note(first.id, now)
+
+    def _traffic(
+        self,
+        service: ids.ServiceId,
+        sight: dict[str, spread.Sighting],
+        now: float,
+    ) -> spread.Traffic:
+        """Return the traffic of the other routers."""
+        fleet = self._fleet_census(now)
+        arrived = fleet.arrived.get(service, 0)
+        running = sum(one.own + one.others for one in sight.values())
+        others = (self._hosts - 1) / self._hosts / census.RATE_SPAN_S
+        return spread.Traffic(
+            per_s=arrived * others,
+            first_per_s={
+                name: fleet.first.get(name, 0) * others for name in sight
+            },
+            work_s=_work_s(running, arrived / census.RATE_SPAN_S),
+        )
+
+    def _fleet_census(self, now: float) -> census.Census:
+        """Return what was shared, or what all routers do if they do alike."""
+        if now - self._fleet_at < _CENSUS_EXPIRY_S:
+            return self._fleet
+        span_s = census.RATE_SPAN_S * self._hosts
+        return census.Census(
+            first=self._by_first.counts(span_s, now),
+            arrived=self._by_service.counts(span_s, now),
+        )
+
     def _offer(
         self,
         wanted: Wanted,
@@ -234,6 +298,13 @@
         return self._ejections[service]
 
 
+def _work_s(running: float, per_s: float) -> float:
+    """Return how long a request stays at a replica, by Little's law."""
+    if not per_s:
+        return _USUAL_WORK_S
+    return max(running / per_s, _LEAST_WORK_S)
+
+
 def _none_ready(wanted: Wanted) -> errors.Problem:
     return errors.Problem(
         'no replica can take the request',
--- a/papayaloom/process/dispatch_actor.py
+++ b/papayaloom/process/dispatch_actor.py
@@ -7,7 +7,7 @@
 import structlog
 
 from papayaloom import clock
-from papayaloom.process import dispatch
+from papayaloom.process import census, dispatch
 from papayaloom.request import onward
 
 _log = structlog.get_logger('dispatch')
@@ -62,13 +62,13 @@
         """Tell the load that a replica states."""
         self.tell(lambda decisions, now: decisions.reported(replica, load, now))
 
-    def own_loads(self) -> dict[str, int]:
-        """Return the running requests of this router, by replica."""
-        return self.ask(lambda decisions, _: decisions.own_loads())
+    def own_census(self) -> census.Census:
+        """Return the requests of this router."""
+        return self.ask(lambda decisions, now: decisions.own_census(now))
 
-    def share_loads(self, totals: dict[str, int]) -> None:
-        """Tell the running requests of all routers, by replica."""
-        self.tell(lambda decisions, now: decisions.share_loads(totals, now))
+    def share_census(self, totals: census.Census) -> None:
+        """Tell the requests of all routers."""
+        self.tell(lambda decisions, now: decisions.share_census(totals, now))
 
     def ask(self, step: Step) -> typing.Any:
         """Run a step and return its value."""
--- a/papayaloom/process/relay.py
+++ b/papayaloom/process/relay.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from papayaloom.ports import kv
+from papayaloom.process import census
 
 _KEPT_EVENTS = 4000
 # Age at which knowledge of the store is too old to be passed on.
@@ -28,13 +29,13 @@
     """What a host tells another one.
 
     :param after: revision up to which the host knows the store.
-    :param loads: requests that it and its followers have running, by replica.
+    :param requests: those of the host and its followers.
     :param is_root: the host is a root, which followers of others don't ask.
     """
 
     host: str
     after: int
-    loads: dict[str, int]
+    requests: census.Census
     is_root: bool = False
 
 
@@ -56,23 +57,22 @@
 
     :param events: changes after the asking host's revision that say
         something new.
-    :param totals: running requests of the whole fleet, by replica; empty when
-        they are not known.
+    :param totals: requests of the whole fleet; None when they are not known.
     :param age_s: time since the store said so.
     :param is_lost: changes are missing; the asking host lists the store again.
     """
 
     revision: int
     events: tuple[Change, ...]
-    totals: dict[str, int]
+    totals: census.Census | None
     age_s: float = 0
     is_lost: bool = False
 
 
 class _Sum(msgspec.Struct, frozen=True):
     at: float
-    loads: dict[str, int]
-    is_root: bool
+    requests: census.Census
+    is_root: bool = False
 
 
 def pack(event: kv.Event) -> Change:
@@ -97,7 +97,7 @@
 
 
 class Relay:
-    """Recent changes of the store, and the loads that hosts report.
+    """Recent changes of the store, and the requests that hosts report.
 
     :param describe: returns what an entry says, without its counters; an
         entry that says the same as before is not passed on.
@@ -116,7 +116,7 @@
         self._is_root = False
 
     def lead(self, *, is_root: bool) -> None:
-        """Take whether this host adds up the loads of the whole fleet."""
+        """Take whether this host adds up the requests of the whole fleet."""
         self._is_root = is_root
 
     def publish(self, after: int, watched: kv.Watched, seen_at: float) -> None:
@@ -145,13 +145,13 @@
         return self._start is not None and now - self._seen_at < _LIVE_S
 
     def answer(
-        self, report: Report, own: dict[str, int], now: float
+        self, report: Report, own: census.Census, now: float
     ) -> Digest | None:
         """Take a report and return what is new; None when out of touch.
 
-        :param own: running requests of this host.
+        :param own: requests of this host.
         """
-        self._sums[report.host] = _Sum(now, report.loads, report.is_root)
+        self._sums[report.host] = _Sum(now, report.requests, report.is_root)
         if not self.is_live(now):
             return None
         totals = self.totals(own, now)
@@ -163,37 +163,37 @@
         )
         return Digest(max(self._revision, report.after), news, totals, age_s)
 
-    def take_totals(self, totals: dict[str, int], now: float) -> None:
-        """Take the loads of the whole fleet from the host that was asked."""
-        if totals:
-            self._fleet = _Sum(now, totals, is_root=True)
+    def take_totals(self, totals: census.Census, now: float) -> None:
+        """Take the requests of the whole fleet from the host that was asked."""
+        self._fleet = _Sum(now, totals)
 
-    def subtotal(self, own: dict[str, int], now: float) -> dict[str, int]:
-        """Return the loads of this host and of its followers."""
+    def subtotal(self, own: census.Census, now: float) -> census.Census:
+        """Return the requests of this host and of its followers."""
         return self._add(own, now, with_roots=False)
 
-    def totals(self, own: dict[str, int], now: float) -> dict[str, int]:
-        """Return the loads of the whole fleet; empty when not known."""
+    def totals(self, own: census.Census, now: float) -> census.Census | None:
+        """Return the requests of the whole fleet; None when not known."""
         if self._is_root:
             return self._add(own, now, with_roots=True)
         fleet = self._fleet
         if fleet is not None and now - fleet.at < _SUM_EXPIRY_S:
-            return fleet.loads
-        return {}
+            return fleet.requests
+        return None
 
     def _add(
-        self, own: dict[str, int], now: float, *, with_roots: bool
-    ) -> dict[str, int]:
+        self, own: census.Census, now: float, *, with_roots: bool
+    ) -> census.Census:
         self._sums = {
             host: one
             for host, one in self._sums.items()
             if now - one.at < _SUM_EXPIRY_S
         }
-        added = collections.Counter(own)
-        for one in self._sums.values():
-            if with_roots or not one.is_root:
-                added.update(one.loads)
-        return dict(added)
+        others = (
+            one.requests
+            for one in self._sums.values()
+            if with_roots or not one.is_root
+        )
+        return census.add((own, *others))
 
     def _is_new(self, event: kv.Event) -> bool:
         if event.deleted:
--- a/papayaloom/process/relay_watch.py
+++ b/papayaloom/process/relay_watch.py
@@ -11,7 +11,7 @@
 
 from papayaloom import errors
 from papayaloom.ports import kv
-from papayaloom.process import fleet_hosts, relay, relay_plan
+from papayaloom.process import census, fleet_hosts, relay, relay_plan
 
 PATH = '/exchange'
 # In a large fleet others wait for what this host learns, and a call that
@@ -28,14 +28,14 @@
 _log = structlog.get_logger('relay')
 
 
-class Loads(typing.Protocol):
-    """Way to the loads of this host."""
+class Requests(typing.Protocol):
+    """Way to the requests of this host."""
 
-    def own_loads(self) -> dict[str, int]:
-        """Return the running requests of this host, by replica."""
+    def own_census(self) -> census.Census:
+        """Return the requests of this host."""
 
-    def share_loads(self, totals: dict[str, int]) -> None:
-        """Take the running requests of the whole fleet."""
+    def share_census(self, totals: census.Census) -> None:
+        """Take the requests of the whole fleet."""
 
 
 class RelayWatch:
@@ -49,14 +49,14 @@
         store: kv.Kv,
         me: str,
         hosts: fleet_hosts.FleetHosts,
-        loads: Loads,
+        requests: Requests,
         describe: typing.Callable[[str, bytes], object],
     ) -> None:
         """Prepare; connects when asked."""
         self._store = store
         self._me = me
         self._hosts = hosts
-        self._loads = loads
+        self._requests = requests
         self._relay = relay.Relay(describe)
         self._lock = threading.Lock()
         self._avoided: dict[str, float] = {}
@@ -95,7 +95,7 @@
             report = msgspec.msgpack.decode(content, type=relay.Report)
         except msgspec.MsgspecError as exc:
             raise errors.CodecError(f'report: {exc}') from exc
-        own = self._loads.own_loads()
+        own = self._requests.own_census()
         with self._lock:
             digest = self._relay.answer(report, own, time.monotonic())
         return b'' if digest is None else msgspec.msgpack.encode(digest)
@@ -118,10 +118,10 @@
     def _follow(self, host: fleet_hosts.Host, after: int) -> kv.Watched | None:
         """Return what another host knows, and pass it on."""
         asked_at = time.monotonic()
-        own = self._loads.own_loads()
+        own = self._requests.own_census()
         with self._lock:
-            loads = self._relay.subtotal(own, asked_at)
-        digest = self._exchange(host, relay.Report(self._me, after, loads))
+            subtotal = self._relay.subtotal(own, asked_at)
+        digest = self._exchange(host, relay.Report(self._me, after, subtotal))
         if digest is None:
             return None
         try:
@@ -132,24 +132,26 @@
         watched = kv.Watched(events, digest.revision, digest.is_lost)
         with self._lock:
             self._relay.publish(after, watched, asked_at - digest.age_s)
-            self._relay.take_totals(digest.totals, asked_at)
-        if digest.totals:
-            self._loads.share_loads(digest.totals)
+            if digest.totals is not None:
+                self._relay.take_totals(digest.totals, asked_at)
+        if digest.totals is not None:
+            self._requests.share_census(digest.totals)
         return watched
 
     def _add_up(
         self, revision: int, peers: typing.Sequence[fleet_hosts.Host]
     ) -> None:
         """Tell the other roots this host's sums, and use those of the fleet."""
-        own = self._loads.own_loads()
+        own = self._requests.own_census()
         with self._lock:
-            loads = self._relay.subtotal(own, time.monotonic())
+            subtotal = self._relay.subtotal(own, time.monotonic())
         for host in peers:
-            report = relay.Report(self._me, revision, loads, is_root=True)
+            report = relay.Report(self._me, revision, subtotal, is_root=True)
             self._exchange(host, report)
         with self._lock:
             totals = self._relay.totals(own, time.monotonic())
-        self._loads.share_loads(totals)
+        if totals is not None:
+            self._requests.share_census(totals)
 
     def _exchange(
         self, host: fleet_hosts.Host, report: relay.Report
--- a/papayaloom/process/spread.py
+++ b/papayaloom/process/spread.py
@@ -1,12 +1,15 @@
 """Which replica gets a request, decided by each router alone.
 
-Answers two load patterns: many requests that share a prompt prefix, which
-belong on one replica until it is clearly busier than the others, and plain
-calls, which belong where the least is running. All routers rank the replicas
-alike, so they agree without a word between them.
+Answers three load patterns: many requests that share a prompt prefix, which
+belong on one replica until it is clearly busier than the others; plain calls,
+which belong where little is running; and many routers that read the same old
+loads, which must not run to the emptiest replica together. All routers rank
+the replicas alike, so they agree without a word between them.
 """
 
+import math
 import random
+import types
 import typing
 
 import msgspec
@@ -15,6 +18,12 @@
 from papayaloom.process import replicas
 from papayaloom.request import onward
 
+# Further ones are as good as any other replica.
+_MOST_PREFERRED = 4
+# A replica that was busy stays suspect: it may be slow.
+_LEAST_FADING = 0.3
+_DEVIATIONS = 2.0
+
 
 class Cfg(msgspec.Struct, frozen=True):
     """Bounds on the preference for a replica that has the prefix.
@@ -39,6 +48,32 @@
     others: float
 
 
+class Sighting(msgspec.Struct, frozen=True):
+    """What a router knows of the load of a replica.
+
+    :param own: requests of this router, as they are.
+    :param others: requests of the other routers, as they were.
+    :param age_s: time since then.
+    """
+
+    own: int
+    others: float
+    age_s: float
+
+
+class Traffic(msgspec.Struct, frozen=True):
+    """Requests that other routers are likely to place meanwhile.
+
+    :param per_s: arrivals at the whole service, in a second.
+    :param first_per_s: those for which a replica is first in rank.
+    :param work_s: mean time that a request stays at a replica.
+    """
+
+    per_s: float = 0
+    first_per_s: typing.Mapping[str, float] = types.MappingProxyType({})
+    work_s: float = 1
+
+
 class Loads:
     """Estimated requests at each replica."""
 
@@ -82,10 +117,31 @@
         """Return the requests of this router, by replica."""
         return dict(self._own)
 
+    def sighted(
+        self, names: typing.Sequence[str], now: float
+    ) -> dict[str, Sighting]:
+        """Return what is known of some replicas, and how old it is."""
+        others = self._others(names, now)
+        return {
+            name: Sighting(
+                own=self._own.get(name, 0),
+                others=others[name],
+                age_s=self._age_s(name, now),
+            )
+            for name in names
+        }
+
     def estimates(
         self, names: typing.Sequence[str], now: float
     ) -> dict[str, float]:
-        """Return the estimated requests at each of some replicas.
+        """Return the estimated requests at each of some replicas."""
+        others = self._others(names, now)
+        return {name: self._own.get(name, 0) + others[name] for name in names}
+
+    def _others(
+        self, names: typing.Sequence[str], now: float
+    ) -> dict[str, float]:
+        """Return what other routers have at some replicas.
 
         A replica without a fresh report is taken to carry as much for other
         routers as the others do in the mean.
@@ -97,10 +153,13 @@
             and now - report.at < self._cfg.report_s
         }
         usual = sum(fresh.values()) / len(fresh) if fresh else 0
-        return {
-            name: self._own.get(name, 0) + fresh.get(name, usual)
-            for name in names
-        }
+        return {name: fresh.get(name, usual) for name in names}
+
+    def _age_s(self, name: str, now: float) -> float:
+        report = self._reports.get(name)
+        if report is None:
+            return 0
+        return min(now - report.at, self._cfg.report_s)
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -132,7 +191,8 @@
 
 def choose(
     offer: Offer,
-    loads: dict[str, float],
+    sight: dict[str, Sighting],
+    traffic: Traffic,
     prefix: str,
     cfg: Cfg,
     rng: random.Random,
@@ -142,23 +202,34 @@
     :param prefix: name of the shared prefix, or empty.
     """
     candidates = offer.candidates
+    loads = {name: one.own + one.others for name, one in sight.items()}
     mean = sum(loads[one.id] for one in candidates) / len(candidates)
     if not prefix:
-        least = _least_loaded(candidates, loads, rng)
-        return Choice(least, None, loads[least.id], mean)
-    ranked = _ranked(offer, prefix)
+        chosen = _levelled(candidates, sight, traffic, rng)
+        return Choice(chosen, None, loads[chosen.id], mean)
+    ranked = rank(offer, prefix)
     bound = cfg.factor * mean + cfg.slack
-    preferred = _preferred(offer, ranked, loads, bound)
-    chosen = preferred or _least_loaded(candidates, loads, rng)
-    source = next(
-        (one for one in ranked if one.id not in offer.newcomers), None
+    preferred = _preferred(offer, ranked, sight, traffic, bound, rng)
+    chosen = preferred or _levelled(candidates, sight, traffic, rng)
+    return Choice(
+        chosen, _source(offer, ranked, chosen), loads[chosen.id], mean
     )
-    if source is chosen:
-        source = None
-    return Choice(chosen, source, loads[chosen.id], mean)
 
 
-def _ranked(offer: Offer, prefix: str) -> list[replicas.Replica]:
+def _source(
+    offer: Offer,
+    ranked: list[replicas.Replica],
+    chosen: replicas.Replica,
+) -> replicas.Replica | None:
+    """Return the replica that had the prefix before, unless it is chosen."""
+    for one in ranked:
+        if one.id not in offer.newcomers:
+            return None if one is chosen else one
+    return None
+
+
+def rank(offer: Offer, prefix: str) -> list[replicas.Replica]:
+    """Return the replicas for a prefix, the one that should have it first."""
     known = {one.id: one for one in (*offer.holders, *offer.candidates)}
     return [known[name] for name in hashing.rank(prefix, known, len(known))]
 
@@ -166,17 +237,86 @@
 def _preferred(
     offer: Offer,
     ranked: list[replicas.Replica],
-    loads: dict[str, float],
+    sight: dict[str, Sighting],
+    traffic: Traffic,
     bound: float,
+    rng: random.Random,
 ) -> replicas.Replica | None:
-    """Return the first in rank that stays within the bound."""
+    """Return one of the first in rank that is likely to stay in the bound.
+
+    All routers fill a replica at once, so each gives it only the part of its
+    requests that all of them together may.
+    """
     allowed = {one.id for one in offer.candidates}
-    within = (
-        one
-        for one in ranked
-        if one.id in allowed and loads[one.id] + 1 <= bound
-    )
-    return next(within, None)
+    overflow: float = 0
+    preferred = [one for one in ranked if one.id in allowed]
+    for one in preferred[:_MOST_PREFERRED]:
+        seen = sight[one.id]
+        fading = _fading(seen, traffic.work_s)
+        arriving = overflow + (1 - fading) * traffic.work_s * (
+            traffic.first_per_s.get(one.id, 0)
+        )
+        room = _room(seen, fading, arriving, bound)
+        if room >= arriving or rng.random() * arriving < room:
+            if room > 0:
+                return one
+        overflow = arriving - max(room, 0)
+    return None
+
+
+def _room(
+    seen: Sighting, fading: float, arriving: float, bound: float
+) -> float:
+    """Return how many unseen requests a replica can take within its bound.
+
+    Arrivals scatter, so room for their deviation is kept free.
+    """
+    scatter = _DEVIATIONS * math.sqrt(min(arriving, bound))
+    return bound - 1 - seen.own - seen.others * fading - scatter
+
+
+def _levelled(
+    candidates: typing.Sequence[replicas.Replica],
+    sight: dict[str, Sighting],
+    traffic: Traffic,
+    rng: random.Random,
+) -> replicas.Replica:
+    """Return a replica so that all routers together level the loads."""
+    loads: dict[str, float] = {}
+    unseen: float = 0
+    for candidate in candidates:
+        seen = sight[candidate.id]
+        fading = _fading(seen, traffic.work_s)
+        loads[candidate.id] = seen.own + seen.others * max(
+            fading, _LEAST_FADING
+        )
+        unseen += (1 - fading) * traffic.work_s * traffic.per_s
+    unseen /= len(candidates)
+    level = _level(sorted(loads.values()), unseen)
+    rooms = [level - loads[one.id] for one in candidates]
+    if max(rooms) <= 0:
+        return _least_loaded(candidates, loads, rng)
+    return rng.choices(candidates, [max(room, 0) for room in rooms])[0]
+
+
+def _level(loads: list[float], poured: float) -> float:
+    """Return the level that so much reaches when poured over the lowest.
+
+    :param loads: in ascending order.
+    """
+    total = poured
+    level = loads[0]
+    for number, load in enumerate(loads, 1):
+        total += load
+        level = total / number
+        if number == len(loads) or level <= loads[number]:
+            break
+    return level
+
+
+def _fading(seen: Sighting, work_s: float) -> float:
+    """Return the part of the seen requests that still runs."""
+    return math.exp(-seen.age_s / work_s)
 
 
 def _least_loaded(
