A host that asks another relay is not counted twice

From 7.3 to 8.9 s the hosts believed in a mean of 12 to 17.6 requests where 8.6 ran: a relay that sent hosts away had taken their reports first, and kept them for 2 s while they were counted elsewhere. 17 of the 33 fell into that time.

Change: a report counts only when it is answered, and for 1 s. Two scenarios, both failing before.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -55,6 +55,22 @@
     When 3 s pass at the relay without an answer of the store
     Then with 1 of its own the relay's total for "a" is 1 and its subtotal 1
 
+  Scenario: A host that is sent away is counted where it goes next, not here too
+    Given a relay that watches from revision 10
+    When the store does not answer the relay
+    And the hosts report
+      | host | role | loads |
+      | h1   | host | a=2   |
+    Then with 1 of its own the relay's total for "a" is 1 and its subtotal 1
+
+  Scenario: A host that went to another relay is soon forgotten
+    Given a relay that watches from revision 10
+    When the hosts report
+      | host | role | loads |
+      | h1   | host | a=2   |
+    And 1 s pass at the relay without an answer of the store
+    Then with 1 of its own the relay's total for "a" is 1 and its subtotal 1
+
   Scenario: Hosts of a large fleet follow a relay, and the store when no relay answers
     Given 13 listed hosts, of which one runs as the only relay
     When a host that is no relay watches
--- a/papayaloom/process/relay.py
+++ b/papayaloom/process/relay.py
@@ -19,7 +19,8 @@
 _KEPT_EVENTS = 4000
 # Age at which knowledge of the store is too old to be passed on.
 _LIVE_S = 1.2
-_SUM_EXPIRY_S = 2.0
+# A host asks about every 0.4 s; one that asks elsewhere must not count twice.
+_SUM_EXPIRY_S = 1.0
 # A route table is long and repeats itself; links of hosts may be thin.
 _PLAIN_BYTES = 1024
 _FASTEST = 1
@@ -151,9 +152,10 @@
 
         :param own: requests of this host.
         """
-        self._sums[report.host] = _Sum(now, report.requests, report.is_root)
         if not self.is_live(now):
+            # It asks another host, and is counted there.
             return None
+        self._sums[report.host] = _Sum(now, report.requests, report.is_root)
         totals = self.totals(own, now)
         age_s = now - self._seen_at
         if self._start is None or report.after < self._start:
