Reckon the traffic of a draining replica to the next in rank

Cause (read): rates were counted for the first in rank, draining replicas included, although their prefixes go to the next one; that one looked less asked for than it is. Test: one scenario, failing before (the rate went to the draining replica). The ranking is computed once a request instead of twice.

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -28,6 +28,12 @@
     And a request with the prefix "care-7" is placed
     Then it goes to another replica, which copies from the draining one
 
+  Scenario: The traffic of a replica that drains is reckoned to the next in rank
+    Given 6 replicas of a service and 1 routers that share no word
+    When the first replica in rank for "care-7" drains
+    And a request with the prefix "care-7" is placed
+    Then the router tells others of an arrival for which the second in rank is the first
+
   Scenario: Plain calls go where the least is running
     Given 3 replicas of a service and 1 routers that share no word
     When 30 requests arrive at once, none of them with the prefix "hot"
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -279,3 +279,11 @@
     assert model.placed > 500, model.placed
     above = 100 * model.over / model.placed
     assert above <= most, (above, model.most)
+
+
+@behave.then(
+    'the router tells others of an arrival for which the second in rank is the first'
+)
+def tells_of_second(context):
+    first = context.routers[0].own_census(context.now).first
+    assert list(first) == [ranked(context, 'care-7')[1]], first
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -156,7 +156,7 @@
             self._cfg.spreading,
             self._rng,
         )
-        self._note(wanted, offer, now)
+        self._note(wanted, choice, now)
         chosen = choice.replica.id
         if ejections.standing(chosen, now) is ejection.Standing.TRIAL:
             ejections.try_out(chosen, now)
@@ -220,11 +220,10 @@
             'retries_left': self._budgets.dump(now),
         }
 
-    def _note(self, wanted: Wanted, offer: spread.Offer, now: float) -> None:
+    def _note(self, wanted: Wanted, choice: spread.Choice, now: float) -> None:
         self._by_service.note(wanted.service, now)
-        if wanted.prefix:
-            first = spread.rank(offer, wanted.prefix)[0]
-            self._by_first.note(first.id, now)
+        if choice.first is not None:
+            self._by_first.note(choice.first.id, now)
 
     def _traffic(
         self,
--- a/papayaloom/process/spread.py
+++ b/papayaloom/process/spread.py
@@ -169,12 +169,14 @@
     :param source: the replica to copy from; None when there is no use in it.
     :param load: estimated requests at the replica.
     :param mean: mean of the estimates over the candidates.
+    :param first: the candidate that is first in rank for the prefix.
     """
 
     replica: replicas.Replica
     source: replicas.Replica | None = None
     load: float = 0
     mean: float = 0
+    first: replicas.Replica | None = None
 
 
 class Offer(msgspec.Struct, frozen=True):
@@ -202,19 +204,21 @@
 
     :param prefix: name of the shared prefix, or empty.
     """
-    candidates = offer.candidates
     loads = {name: one.own + one.others for name, one in sight.items()}
-    mean = sum(loads[one.id] for one in candidates) / len(candidates)
+    mean = sum(loads[one.id] for one in offer.candidates) / len(
+        offer.candidates
+    )
     if not prefix:
-        chosen = _levelled(candidates, sight, traffic, rng)
+        chosen = _levelled(offer.candidates, sight, traffic, rng)
         return Choice(chosen, None, loads[chosen.id], mean)
-    ranked = rank(offer, prefix)
+    ranked = _ranked(offer, prefix)
+    in_turn = _in_turn(offer, ranked)
     bound = cfg.factor * mean + cfg.slack
-    preferred = _preferred(offer, ranked, sight, traffic, bound, rng)
-    chosen = preferred or _levelled(candidates, sight, traffic, rng)
-    return Choice(
-        chosen, _source(offer, ranked, chosen), loads[chosen.id], mean
+    chosen = _preferred(in_turn, sight, traffic, bound, rng) or _levelled(
+        offer.candidates, sight, traffic, rng
     )
+    source = _source(offer, ranked, chosen)
+    return Choice(chosen, source, loads[chosen.id], mean, in_turn[0])
 
 
 def _source(
@@ -229,15 +233,21 @@
     return None
 
 
-def rank(offer: Offer, prefix: str) -> list[replicas.Replica]:
+def _ranked(offer: Offer, prefix: str) -> list[replicas.Replica]:
     """Return the replicas for a prefix, the one that should have it first."""
     known = {one.id: one for one in (*offer.holders, *offer.candidates)}
     return [known[name] for name in hashing.rank(prefix, known, len(known))]
 
 
+def _in_turn(
+    offer: Offer, ranked: list[replicas.Replica]
+) -> list[replicas.Replica]:
+    allowed = {one.id for one in offer.candidates}
+    return [one for one in ranked if one.id in allowed]
+
+
 def _preferred(
-    offer: Offer,
-    ranked: list[replicas.Replica],
+    in_turn: list[replicas.Replica],
     sight: dict[str, Sighting],
     traffic: Traffic,
     bound: float,
@@ -247,11 +257,11 @@
 
     All routers fill a replica at once, so each gives it only the part of its
     requests that all of them together may.
+
+    :param in_turn: the candidates, the one that should have the prefix first.
     """
-    allowed = {one.id for one in offer.candidates}
     overflow: float = 0
-    preferred = [one for one in ranked if one.id in allowed]
-    for one in preferred[:_MOST_PREFERRED]:
+    for one in in_turn[:_MOST_PREFERRED]:
         seen = sight[one.id]
         per_s = traffic.first_per_s.get(one.id, 0)
         work_s = _slow_work_s(seen, per_s, traffic.work_s)
