A router that hears of loads with answers only keeps one deviation free

Without sums of the fleet the rate at a single replica is a guess; taken for the time that requests stay, it sent requests away from the replica that has their prefix.

Change: two deviations and the time of each replica only where sums are shared; one deviation and the mean time in small fleets. New scenarios in the model for fleets without sums.

--- a/features/placement_model.py
+++ b/features/placement_model.py
@@ -7,9 +7,11 @@
 import msgspec
 
 from papayaloom.process import census, dispatch, spread
+from papayaloom.request import onward
 
 BOUND = spread.Cfg()
 _SNAPSHOT_S = 0.1
+_FIRST_EVENT_S = 0.06
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -31,7 +33,8 @@
 class Model:
     """Routers, replicas that run any number at once, and sums that are old.
 
-    :param share_s: time between two sums at each router.
+    :param share_s: time between two sums at each router; 0 when routers hear
+        of loads with the answers of the replicas only.
     :param lag_s: age of a sum when a router gets it.
     """
 
@@ -54,7 +57,7 @@
         """Play the load; counts what reached a replica above the bound."""
         self._plan(0, self._snapshot)
         self._plan(0, self._arrive)
-        for number in range(len(self._routers)):
+        for number in range(len(self._routers) if self._share_s else 0):
             at = self._rng.uniform(0, self._share_s)
             self._plan(at, self._share, number)
         while self._events:
@@ -98,6 +101,13 @@
         slowness = self._load.slowness.get(choice.replica.id, 1)
         work_s = slowness * self._rng.expovariate(1 / self._load.work_s)
         self._plan(now + work_s, self._end, number, choice.replica.id)
+        if not self._share_s:
+            at = now + min(work_s, _FIRST_EVENT_S)
+            self._plan(at, self._report, number, choice.replica.id)
+
+    def _report(self, now, number, chosen):
+        load = onward.Load(self._count[chosen], 0, 16)
+        self._routers[number].reported(chosen, load, now)
 
     def _measure(self, chosen):
         mean = sum(self._count.values()) / len(self._count)
--- a/features/spread.feature
+++ b/features/spread.feature
@@ -91,3 +91,14 @@
     Given a fleet of 80 routers, each with 30 replicas
     When they hear sums every 0.4 s, 0.6 s old, while 206 streams a second of 0.9 s arrive for 20 s, and 4 replicas need 4 times as long
     Then at most 3 in 100 reach a replica above twice the mean load and 3 more
+
+  Scenario Outline: A small fleet that hears of loads with answers only keeps a hot prefix under the bound
+    Given a fleet of 6 routers, each with <replicas> replicas
+    When they hear of loads with answers only, while <per_s> streams a second of 1 s arrive for 120 s, <hot> in 100 of them with one prefix
+    Then at most 3 in 100 reach a replica above twice the mean load and 3 more
+
+    Examples: the two first deployments, and one with more traffic
+      | replicas | per_s | hot |
+      | 9        | 26    | 24  |
+      | 8        | 24    | 18  |
+      | 9        | 60    | 30  |
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -264,6 +264,15 @@
     play(context, load, share, lag, seconds)
 
 
+@behave.when(
+    'they hear of loads with answers only, while {per_s:d} streams a second of {work:g} s arrive for {seconds:d} s, {hot:d} in 100 of them with one prefix'
+)
+def streams_by_reports(context, per_s, work, seconds, hot):
+    prefixes = {f'p{number}': 1 for number in range(100)}
+    prefixes['hot'] = 100 * hot / (100 - hot)
+    play(context, placement_model.Load(per_s, work, prefixes), 0, 0, seconds)
+
+
 def play(context, load, share, lag, seconds):
     context.model = placement_model.Model(
         context.routers, context.names, SERVICE, load, share, lag
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -242,11 +242,15 @@
                 name: fleet.first.get(name, 0) * others for name in sight
             },
             work_s=_work_s(running, arrived / census.RATE_SPAN_S),
+            is_summed=self._has_sums(now),
         )
 
+    def _has_sums(self, now: float) -> bool:
+        return now - self._fleet_at < _CENSUS_EXPIRY_S
+
     def _fleet_census(self, now: float) -> census.Census:
         """Return what was shared, or what all routers do if they do alike."""
-        if now - self._fleet_at < _CENSUS_EXPIRY_S:
+        if self._has_sums(now):
             return self._fleet
         span_s = census.RATE_SPAN_S * self._hosts
         return census.Census(
--- a/papayaloom/process/spread.py
+++ b/papayaloom/process/spread.py
@@ -22,7 +22,9 @@
 _MOST_PREFERRED = 4
 # A replica that was busy stays suspect: it may be slow.
 _LEAST_FADING = 0.3
-_DEVIATIONS = 2.0
+# Sums come over several hosts and are older than a replica's own reports.
+_SUMS_DEVIATIONS = 2.0
+_REPORTS_DEVIATIONS = 1.0
 _MOST_SLOWNESS = 4
 
 
@@ -68,11 +70,14 @@
     :param per_s: arrivals at the whole service, in a second.
     :param first_per_s: those for which a replica is first in rank.
     :param work_s: mean time that a request stays at a replica.
+    :param is_summed: the rates are sums over all routers; else they are
+        guessed from this router's own, too roughly for a single replica.
     """
 
     per_s: float = 0
     first_per_s: typing.Mapping[str, float] = types.MappingProxyType({})
     work_s: float = 1
+    is_summed: bool = False
 
 
 class Loads:
@@ -264,9 +269,12 @@
     for one in in_turn[:_MOST_PREFERRED]:
         seen = sight[one.id]
         per_s = traffic.first_per_s.get(one.id, 0)
-        work_s = _slow_work_s(seen, per_s, traffic.work_s)
+        work_s = traffic.work_s
+        if traffic.is_summed:
+            work_s = _slow_work_s(seen, per_s, work_s)
+        running = seen.own + seen.others * _fading(seen, work_s)
         arriving = overflow + (1 - _fading(seen, work_s)) * work_s * per_s
-        room = _room(seen, work_s, arriving, bound)
+        room = bound - 1 - running - _scatter(arriving, bound, traffic)
         if room >= arriving or rng.random() * arriving < room:
             if room > 0:
                 return one
@@ -282,16 +290,12 @@
     return min(max(stay_s, usual_s), _MOST_SLOWNESS * usual_s)
 
 
-def _room(
-    seen: Sighting, work_s: float, arriving: float, bound: float
-) -> float:
-    """Return how many unseen requests a replica can take within its bound.
-
-    Arrivals scatter, so room for their deviation is kept free.
-    """
-    scatter = _DEVIATIONS * math.sqrt(min(arriving, bound))
-    running = seen.own + seen.others * _fading(seen, work_s)
-    return bound - 1 - running - scatter
+def _scatter(arriving: float, bound: float, traffic: Traffic) -> float:
+    """Return the room that is kept free, because arrivals scatter."""
+    deviations = _REPORTS_DEVIATIONS
+    if traffic.is_summed:
+        deviations = _SUMS_DEVIATIONS
+    return deviations * math.sqrt(min(arriving, bound))
 
 
 def _levelled(
