Split what a router knows of loads from the choice of a replica

Found on reading the change: spread.py held two concerns; the sum own + others stood in four places and Loads.estimates computed once more what Loads.sighted gives; for each request, plain calls included, the rates of all replicas were counted though at most four are looked at; fading was computed twice a replica.

Change: process/sightings.py (Sighting.total, Sighting.fading); the rate of a replica is asked for when it is needed.

--- a/papayaloom/process/arrival_rates.py
+++ b/papayaloom/process/arrival_rates.py
@@ -36,11 +36,13 @@
 
     def counts(self, span_s: float, now: float) -> dict[str, int]:
         """Return the arrivals in a span by name, as whole numbers."""
-        counts = {
-            name: round(self.per_s(name, now) * span_s) for name in self._rates
-        }
+        counts = {name: self.count(name, span_s, now) for name in self._rates}
         return {name: count for name, count in counts.items() if count}
 
+    def count(self, name: _Name, span_s: float, now: float) -> int:
+        """Return the arrivals of one name in a span, as a whole number."""
+        return round(self.per_s(name, now) * span_s)
+
     def forget(self, name: _Name) -> None:
         """Drop what was counted."""
         self._rates.pop(name, None)
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -16,6 +16,7 @@
     census,
     ejection,
     replicas,
+    sightings,
     spread,
 )
 from papayaloom.request import onward
@@ -110,7 +111,7 @@
         self.replicas = replicas.Replicas(cfg.lapses)
         self._cfg = cfg
         self._rng = rng
-        self._loads = spread.Loads(cfg.spreading)
+        self._loads = sightings.Loads()
         self._hosts = hosts
         self._fleet = census.Census()
         self._fleet_at = float('-inf')
@@ -211,7 +212,10 @@
         names = [one.id for one in listed]
         return {
             'replicas': listed,
-            'loads': self._loads.estimates(names, now),
+            'loads': {
+                name: one.total
+                for name, one in self._loads.sighted(names, now).items()
+            },
             'unreachable': dict(self._unreachable),
             'ejections': {
                 service: part.dump(now)
@@ -228,19 +232,16 @@
     def _traffic(
         self,
         service: ids.ServiceId,
-        sight: dict[str, spread.Sighting],
+        sight: dict[str, sightings.Sighting],
         now: float,
     ) -> spread.Traffic:
         """Return the traffic of the other routers."""
-        fleet = self._fleet_census(now)
-        arrived = fleet.arrived.get(service, 0)
-        running = sum(one.own + one.others for one in sight.values())
+        arrived = self._arrived(service, now)
+        running = sum(one.total for one in sight.values())
         others = (self._hosts - 1) / self._hosts / census.RATE_SPAN_S
         return spread.Traffic(
             per_s=arrived * others,
-            first_per_s={
-                name: fleet.first.get(name, 0) * others for name in sight
-            },
+            first_per_s=lambda name: self._first(name, now) * others,
             work_s=_work_s(running, arrived / census.RATE_SPAN_S),
             is_summed=self._has_sums(now),
         )
@@ -248,15 +249,22 @@
     def _has_sums(self, now: float) -> bool:
         return now - self._fleet_at < _CENSUS_EXPIRY_S
 
-    def _fleet_census(self, now: float) -> census.Census:
-        """Return what was shared, or what all routers do if they do alike."""
+    def _arrived(self, service: ids.ServiceId, now: float) -> int:
+        """Return the arrivals at all routers, if need be as at this one."""
         if self._has_sums(now):
-            return self._fleet
-        span_s = census.RATE_SPAN_S * self._hosts
-        return census.Census(
-            first=self._by_first.counts(span_s, now),
-            arrived=self._by_service.counts(span_s, now),
-        )
+            return self._fleet.arrived.get(service, 0)
+        return self._by_service.count(service, self._fleet_span_s(), now)
+
+    def _first(self, replica: str, now: float) -> int:
+        """Return the arrivals at all routers that rank a replica first."""
+        if self._has_sums(now):
+            return self._fleet.first.get(replica, 0)
+        name = replicas.ReplicaId(replica)
+        return self._by_first.count(name, self._fleet_span_s(), now)
+
+    def _fleet_span_s(self) -> float:
+        """Return the span in which this router gets what all get in one."""
+        return census.RATE_SPAN_S * self._hosts
 
     def _offer(
         self,
--- a/papayaloom/process/spread.py
+++ b/papayaloom/process/spread.py
@@ -9,14 +9,12 @@
 
 import math
 import random
-import types
 import typing
 
 import msgspec
 
 from papayaloom import hashing
-from papayaloom.process import replicas
-from papayaloom.request import onward
+from papayaloom.process import replicas, sightings
 
 # Further ones are as good as any other replica.
 _MOST_PREFERRED = 4
@@ -33,139 +31,26 @@
 
     :param factor: multiple of the mean load up to which it is preferred.
     :param slack: requests above that.
-    :param report_s: age at which a reported load counts no more.
     """
 
     factor: float = 2
     slack: float = 3
-    report_s: float = 4
-
-
-class Report(msgspec.Struct, frozen=True):
-    """Load that a replica reported.
-
-    :param others: requests there that other routers had sent.
-    """
-
-    at: float
-    others: float
-
-
-class Sighting(msgspec.Struct, frozen=True):
-    """What a router knows of the load of a replica.
-
-    :param own: requests of this router, as they are.
-    :param others: requests of the other routers, as they were.
-    :param age_s: time since then.
-    """
-
-    own: int
-    others: float
-    age_s: float
 
 
 class Traffic(msgspec.Struct, frozen=True):
     """Requests that other routers are likely to place meanwhile.
 
     :param per_s: arrivals at the whole service, in a second.
-    :param first_per_s: those for which a replica is first in rank.
+    :param first_per_s: returns those for which a replica is first in rank.
     :param work_s: mean time that a request stays at a replica.
     :param is_summed: the rates are sums over all routers; else they are
         guessed from this router's own, too roughly for a single replica.
     """
 
-    per_s: float = 0
-    first_per_s: typing.Mapping[str, float] = types.MappingProxyType({})
-    work_s: float = 1
-    is_summed: bool = False
-
-
-class Loads:
-    """Estimated requests at each replica."""
-
-    def __init__(self, cfg: Cfg) -> None:
-        """Start without requests and reports."""
-        self._cfg = cfg
-        self._own: dict[str, int] = {}
-        self._reports: dict[str, Report] = {}
-
-    def started(self, replica: str) -> None:
-        """Count a request of this router."""
-        self._own[replica] = self._own.get(replica, 0) + 1
-
-    def ended(self, replica: str) -> None:
-        """Count the end of a request of this router."""
-        left = self._own.get(replica, 0) - 1
-        if left > 0:
-            self._own[replica] = left
-        else:
-            self._own.pop(replica, None)
-
-    def reported(self, replica: str, load: onward.Load, now: float) -> None:
-        """Take the load that a replica states with an answer."""
-        total = load.running + load.waiting
-        others = max(total - self._own.get(replica, 0), 0)
-        self._reports[replica] = Report(now, others)
-
-    def shared(
-        self, names: typing.Iterable[str], totals: dict[str, int], now: float
-    ) -> None:
-        """Take the requests of the whole fleet at some replicas."""
-        for name in names:
-            others = max(totals.get(name, 0) - self._own.get(name, 0), 0)
-            self._reports[name] = Report(now, others)
-
-    def forget(self, replica: str) -> None:
-        """Drop what was reported by a replica that is gone."""
-        self._reports.pop(replica, None)
-
-    def own(self) -> dict[str, int]:
-        """Return the requests of this router, by replica."""
-        return dict(self._own)
-
-    def sighted(
-        self, names: typing.Sequence[str], now: float
-    ) -> dict[str, Sighting]:
-        """Return what is known of some replicas, and how old it is."""
-        others = self._others(names, now)
-        return {
-            name: Sighting(
-                own=self._own.get(name, 0),
-                others=others[name],
-                age_s=self._age_s(name, now),
-            )
-            for name in names
-        }
-
-    def estimates(
-        self, names: typing.Sequence[str], now: float
-    ) -> dict[str, float]:
-        """Return the estimated requests at each of some replicas."""
-        others = self._others(names, now)
-        return {name: self._own.get(name, 0) + others[name] for name in names}
-
-    def _others(
-        self, names: typing.Sequence[str], now: float
-    ) -> dict[str, float]:
-        """Return what other routers have at some replicas.
-
-        A replica without a fresh report is taken to carry as much for other
-        routers as the others do in the mean.
-        """
-        fresh = {
-            name: report.others
-            for name in names
-            if (report := self._reports.get(name))
-            and now - report.at < self._cfg.report_s
-        }
-        usual = sum(fresh.values()) / len(fresh) if fresh else 0
-        return {name: fresh.get(name, usual) for name in names}
-
-    def _age_s(self, name: str, now: float) -> float:
-        report = self._reports.get(name)
-        if report is None:
-            return 0
-        return min(now - report.at, self._cfg.report_s)
+    per_s: float
+    first_per_s: typing.Callable[[str], float]
+    work_s: float
+    is_summed: bool
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -199,7 +84,7 @@
 
 def choose(
     offer: Offer,
-    sight: dict[str, Sighting],
+    sight: dict[str, sightings.Sighting],
     traffic: Traffic,
     prefix: str,
     cfg: Cfg,
@@ -209,13 +94,12 @@
 
     :param prefix: name of the shared prefix, or empty.
     """
-    loads = {name: one.own + one.others for name, one in sight.items()}
-    mean = sum(loads[one.id] for one in offer.candidates) / len(
+    mean = sum(sight[one.id].total for one in offer.candidates) / len(
         offer.candidates
     )
     if not prefix:
         chosen = _levelled(offer.candidates, sight, traffic, rng)
-        return Choice(chosen, None, loads[chosen.id], mean)
+        return Choice(chosen, None, sight[chosen.id].total, mean)
     ranked = _ranked(offer, prefix)
     in_turn = _in_turn(offer, ranked)
     bound = cfg.factor * mean + cfg.slack
@@ -223,7 +107,7 @@
         offer.candidates, sight, traffic, rng
     )
     source = _source(offer, ranked, chosen)
-    return Choice(chosen, source, loads[chosen.id], mean, in_turn[0])
+    return Choice(chosen, source, sight[chosen.id].total, mean, in_turn[0])
 
 
 def _source(
@@ -253,7 +137,7 @@
 
 def _preferred(
     in_turn: list[replicas.Replica],
-    sight: dict[str, Sighting],
+    sight: dict[str, sightings.Sighting],
     traffic: Traffic,
     bound: float,
     rng: random.Random,
@@ -268,13 +152,14 @@
     overflow: float = 0
     for one in in_turn[:_MOST_PREFERRED]:
         seen = sight[one.id]
-        per_s = traffic.first_per_s.get(one.id, 0)
+        per_s = traffic.first_per_s(one.id)
         work_s = traffic.work_s
         if traffic.is_summed:
             work_s = _slow_work_s(seen, per_s, work_s)
-        running = seen.own + seen.others * _fading(seen, work_s)
-        arriving = overflow + (1 - _fading(seen, work_s)) * work_s * per_s
-        room = bound - 1 - running - _scatter(arriving, bound, traffic)
+        fading = seen.fading(work_s)
+        arriving = overflow + (1 - fading) * work_s * per_s
+        free = _scatter(arriving, bound, traffic)
+        room = bound - 1 - seen.own - seen.others * fading - free
         if room >= arriving or rng.random() * arriving < room:
             if room > 0:
                 return one
@@ -282,11 +167,13 @@
     return None
 
 
-def _slow_work_s(seen: Sighting, per_s: float, usual_s: float) -> float:
+def _slow_work_s(
+    seen: sightings.Sighting, per_s: float, usual_s: float
+) -> float:
     """Return how long requests stay at a replica that may be slow."""
     if not per_s:
         return usual_s
-    stay_s = (seen.own + seen.others) / per_s
+    stay_s = seen.total / per_s
     return min(max(stay_s, usual_s), _MOST_SLOWNESS * usual_s)
 
 
@@ -300,7 +187,7 @@
 
 def _levelled(
     candidates: typing.Sequence[replicas.Replica],
-    sight: dict[str, Sighting],
+    sight: dict[str, sightings.Sighting],
     traffic: Traffic,
     rng: random.Random,
 ) -> replicas.Replica:
@@ -309,7 +196,7 @@
     unseen: float = 0
     for candidate in candidates:
         seen = sight[candidate.id]
-        fading = _fading(seen, traffic.work_s)
+        fading = seen.fading(traffic.work_s)
         loads[candidate.id] = seen.own + seen.others * max(
             fading, _LEAST_FADING
         )
@@ -337,11 +224,6 @@
     return level
 
 
-def _fading(seen: Sighting, work_s: float) -> float:
-    """Return the part of the seen requests that still runs."""
-    return math.exp(-seen.age_s / work_s)
-
-
 def _least_loaded(
     candidates: typing.Sequence[replicas.Replica],
     loads: dict[str, float],
