One state for a store that is away

Found on reading the change: the feed and the view each kept whether the last call to the store had failed, set at the same two places. The feed keeps it; the gateway asks the feed. gateway, feed and relay features pass.

--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -56,7 +56,10 @@
 
 
 class Feed:
-    """Thread that lists the sources once and then follows their changes."""
+    """Thread that lists the sources once and then follows their changes.
+
+    ``is_store_away`` tells whether the last call to the store failed.
+    """
 
     def __init__(
         self,
@@ -82,7 +85,7 @@
         self._rng = rng
         self._stopping = threading.Event()
         self._revision: int | None = None
-        self._is_lost = False
+        self.is_store_away = False
         self._was_listed = False
 
     def start(self) -> None:
@@ -131,14 +134,14 @@
                 self._stopping.wait(PAUSE_S)
 
     def _answered(self) -> None:
-        if self._is_lost:
-            self._is_lost = False
+        if self.is_store_away:
+            self.is_store_away = False
             _log.info('feed: the store answers again')
         self._health.answered()
 
     def _failed(self, exc: errors.StoreUnavailableError) -> None:
-        if not self._is_lost:
-            self._is_lost = True
+        if not self.is_store_away:
+            self.is_store_away = True
             _log.warning('feed: the store is away', reason=str(exc))
         self._health.failed()
         if self._revision is None:
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -342,7 +342,7 @@
 
         Spread, so that callers of an outage do not return together.
         """
-        if self._view.is_store_away:
+        if self._feed.is_store_away:
             return self._rng.uniform(*_AWAY_RETRY_S)
         return _STARTING_RETRY_S
 
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -76,7 +76,6 @@
     ) -> None:
         """Start without knowledge."""
         self.table: routes.RouteTable | None = None
-        self.is_store_away = False
         self.hosts = fleet_hosts.FleetHosts(me)
         self._outside = outside
         self._desk = desk
@@ -117,7 +116,6 @@
 
     def store_answered(self) -> None:
         """Note an answer of the store."""
-        self.is_store_away = False
         self.hosts.lapses.store_answered(time.monotonic())
         self._desk.tell(
             lambda decisions, now: decisions.replicas.lapses.store_answered(now)
@@ -125,7 +123,6 @@
 
     def store_failed(self) -> None:
         """Note that the store does not answer."""
-        self.is_store_away = True
         self.hosts.lapses.store_failed()
         self._desk.tell(
             lambda decisions, _: decisions.replicas.lapses.store_failed()
