Remove what nothing reads, and a second name for one function

Channel.is_answered and channel.Connect had no reader; ingress.abandon and break_off did the same. Behaviour is the same; gateway and relay features pass.

--- a/features/soak/replica.py
+++ b/features/soak/replica.py
@@ -71,7 +71,7 @@
         self._runs.began(request)
         time.sleep(_WORK_S)
         if is_bad and self._rng.random() < 0.5:
-            ingress.abandon(received)
+            ingress.break_off(received)
             return
         if not inbound.path.startswith('/stream/'):
             inbound.answer(200, marks, request.encode())
--- a/papayaloom/connection/channel.py
+++ b/papayaloom/connection/channel.py
@@ -9,7 +9,6 @@
 import select
 import socket
 import time
-import typing
 
 import h11
 import msgspec
@@ -64,7 +63,6 @@
         self.idle_s = float('inf')
         # Bytes of the present request are on their way.
         self.has_sent = False
-        self.is_answered = False
         self._parser = h11.Connection(h11.CLIENT)
         self._unsent = b''
         try:
@@ -79,7 +77,6 @@
     def send(self, head: Head, body: bytes) -> None:
         """Begin to send a request; the rest is sent while answers are read."""
         self.has_sent = False
-        self.is_answered = False
         parts = [
             self._parser.send(
                 h11.Request(
@@ -174,10 +171,7 @@
             event = self._parser.next_event()
         except h11.RemoteProtocolError as exc:
             raise self._broken(f'no answer in the protocol: {exc}') from exc
-        if isinstance(event, h11.Response):
-            self.is_answered = True
-            return event
-        if isinstance(event, (h11.Data, h11.EndOfMessage)):
+        if isinstance(event, (h11.Response, h11.Data, h11.EndOfMessage)):
             return event
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
             raise self._broken('closed without an answer')
@@ -247,6 +241,3 @@
     )
     for level, option, setting in options:
         sock.setsockopt(level, option, setting)
-
-
-Connect = typing.Callable[[tuple[str, int]], Channel]
--- a/papayaloom/connection/ingress.py
+++ b/papayaloom/connection/ingress.py
@@ -112,18 +112,16 @@
     send_whole(received, problem.status, headers, problem.encode())
 
 
-def abandon(received: typing.Any) -> None:
-    """Close the connection of a caller that is not there any more."""
+def break_off(received: typing.Any) -> None:
+    """Close the connection, without the end chunk of an answer in parts.
+
+    So the answer looks incomplete to a caller that is still there.
+    """
     received.close_connection = True
     received.sent_headers = True
     received.chunked_write = False
 
 
-def break_off(received: typing.Any) -> None:
-    """Close without the end chunk, so that the answer looks incomplete."""
-    abandon(received)
-
-
 def send_whole(
     received: typing.Any, status: int, headers: onward.Headers, content: bytes
 ) -> None:
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -287,7 +287,7 @@
         except errors.RefusedError as exc:
             return self._refuse(received, inbound, exc.problem)
         except channel.CallerGoneError as exc:
-            ingress.abandon(received)
+            ingress.break_off(received)
             return _CALLER_GONE, str(exc)
         except ingress.BrokenOffError as exc:
             ingress.break_off(received)
