--- a/features/feed.feature
+++ b/features/feed.feature
@@ -20,3 +20,9 @@
     Given a store whose listing comes in 5 pieces, 0.3 s apart
     When the platform's store there is listed with the quick client
     Then the call succeeds
+
+  Scenario: A neighbour's snapshot that comes after the listing changes nothing
+    Given a host that knows a replica from a neighbour's snapshot
+    When its feed lists the store without that replica
+    And the same snapshot comes once more
+    Then the host knows the replicas of the listing alone
--- a/features/steps/feed_steps.py
+++ b/features/steps/feed_steps.py
@@ -4,11 +4,18 @@
 import time
 
 import behave
+import msgspec
 
-from papayaloom import errors
-from papayaloom.platform import store
+from papayaloom import clock, errors
+from papayaloom.platform import main, store
 from papayaloom.ports import kv
-from papayaloom.process import feed
+from papayaloom.process import (
+    dispatch,
+    dispatch_actor,
+    feed,
+    fleet_hosts,
+    store_view,
+)
 
 
 class HangingStore:
@@ -135,3 +142,57 @@
 @behave.then('the call succeeds')
 def call_succeeds(context):
     assert context.listing is not None and context.listing.revision == 7
+
+
+def replica_entry(port):
+    return (
+        b'{"service": "pool", "address": "10.0.0.1:%d", "state": "ready"}'
+        % port
+    )
+
+
+@behave.given("a host that knows a replica from a neighbour's snapshot")
+def knows_from_snapshot(context):
+    actor = dispatch_actor.DispatchActor.start(
+        dispatch.Dispatch(dispatch.Cfg(), random.Random(1)),
+        clock.SystemClock(),
+    )
+    context.add_cleanup(actor.stop)
+    context.desk = dispatch_actor.Desk(actor)
+    context.view = store_view.StoreView(
+        fleet_hosts.Host('h1', ''),
+        main.OUTSIDE,
+        context.desk,
+        lambda replica: None,
+        lambda limits: None,
+    )
+    context.desk.tell(
+        lambda decisions, now: decisions.replicas.lapses.store_answered(-60)
+    )
+    context.snapshot = msgspec.msgpack.encode({'servers/old': replica_entry(1)})
+    context.view.restore(context.snapshot)
+    assert known_replicas(context) == ['old']
+
+
+@behave.when('its feed lists the store without that replica')
+def lists_without(context):
+    for source in context.view.sources():
+        entries = [kv.Entry('servers/new', replica_entry(2), 5)]
+        source.replace(
+            [one for one in entries if one.key.startswith(source.prefix)]
+        )
+
+
+@behave.when('the same snapshot comes once more')
+def snapshot_again(context):
+    context.view.restore(context.snapshot)
+
+
+@behave.then('the host knows the replicas of the listing alone')
+def knows_listing(context):
+    assert known_replicas(context) == ['new'], known_replicas(context)
+
+
+def known_replicas(context):
+    listed = context.desk.ask(lambda decisions, _: decisions.replicas.dump())
+    return [one.id for one in listed]
--- a/papayaloom/process/catch_up.py
+++ b/papayaloom/process/catch_up.py
@@ -59,12 +59,15 @@
             reply = self._pool.request('GET', url, redirect=False)
             if reply.status != _OK:
                 return False
-            if self._view.table is None:
-                self._view.restore(reply.data)
+            is_taken = self._view.restore(reply.data)
         except (urllib3.exceptions.HTTPError, errors.CodecError) as exc:
             _log.info('catch-up: no snapshot', host=host, reason=str(exc))
             return False
         _log.info(
-            'catch-up: snapshot taken', host=host, version=self._view.version
+            'catch-up: snapshot taken'
+            if is_taken
+            else 'catch-up: the store was listed first',
+            host=host,
+            version=self._view.version,
         )
         return True
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -4,6 +4,7 @@
 another host's snapshot while the store is away.
 """
 
+import functools
 import threading
 import time
 import typing
@@ -24,6 +25,7 @@
 from papayaloom.version import routes
 
 _log = structlog.get_logger('view')
+_Taker = typing.Callable[[list[kv.Entry]], None]
 
 
 class Keys(msgspec.Struct, frozen=True):
@@ -82,6 +84,9 @@
         self._drop = drop
         self._limit = limit
         self._lock = threading.Lock()
+        # Held while a listing or a snapshot is taken.
+        self._taking = threading.Lock()
+        self._is_listed = False
         # Newest content of each key, for hosts that ask.
         self._entries: dict[str, bytes] = {}
 
@@ -92,20 +97,14 @@
 
     def sources(self) -> tuple[feed.Source, ...]:
         """Return what the feed follows."""
-        keys = self._outside.keys
-        return (
-            feed.Source(
-                keys.routes, self._routes_listed, self._changed, self._removed
-            ),
+        return tuple(
             feed.Source(
-                keys.replicas,
-                self._replicas_listed,
+                prefix,
+                functools.partial(self._listed, take),
                 self._changed,
                 self._removed,
-            ),
-            feed.Source(
-                keys.hosts, self._hosts_listed, self._changed, self._removed
-            ),
+            )
+            for prefix, take in self._takers().items()
         )
 
     def describe(self, key: str, content: bytes) -> object:
@@ -148,23 +147,42 @@
         with self._lock:
             return msgspec.msgpack.encode(self._entries)
 
-    def restore(self, content: bytes) -> None:
-        """Take another host's snapshot.
+    def restore(self, content: bytes) -> bool:
+        """Take another host's snapshot, unless the store was listed since.
 
+        :returns: whether it was taken.
         :raises papayaloom.errors.CodecError: it can't be read.
         """
         try:
             entries = msgspec.msgpack.decode(content, type=dict[str, bytes])
         except msgspec.MsgspecError as exc:
             raise errors.CodecError(f'snapshot: {exc}') from exc
-        for source in self.sources():
-            source.replace(
-                [
-                    kv.Entry(key, value, 0)
-                    for key, value in entries.items()
-                    if key.startswith(source.prefix)
-                ]
-            )
+        with self._taking:
+            if self._is_listed:
+                return False
+            for prefix, take in self._takers().items():
+                take(
+                    [
+                        kv.Entry(key, value, 0)
+                        for key, value in entries.items()
+                        if key.startswith(prefix)
+                    ]
+                )
+        return True
+
+    def _takers(self) -> dict[str, _Taker]:
+        """Return what takes the listing of each prefix."""
+        keys = self._outside.keys
+        return {
+            keys.routes: self._routes_listed,
+            keys.replicas: self._replicas_listed,
+            keys.hosts: self._hosts_listed,
+        }
+
+    def _listed(self, take: _Taker, entries: list[kv.Entry]) -> None:
+        with self._taking:
+            self._is_listed = True
+            take(entries)
 
     def _changed(self, key: str, content: bytes) -> None:
         keys = self._outside.keys
