Split the steps of the relays by what they test

Now relay_steps (what one host passes on), relay_plan_steps (who asks whom) and relay_watch_steps (hosts that ask each other), with one set-up in features/relay_fleet.py.

--- /dev/null
+++ b/features/relay_fleet.py
@@ -0,0 +1,112 @@
+"""Hosts of a large fleet, some of which answer the others over sockets."""
+
+import functools
+import threading
+
+import msgspec
+
+from papayaloom import clock
+from papayaloom.connection import caller, ingress
+from papayaloom.ports import kv
+from papayaloom.process import census, fleet_hosts, relay_plan, relay_watch
+from papayaloom.standins import kv as memory_kv
+
+# Hosts that do not run refuse connections.
+REFUSING = '127.0.0.1:1'
+
+
+def describe(key, content):
+    """Return the content without its counter."""
+    return content.split()[0]
+
+
+def stopped_hosts(count, control=REFUSING):
+    return [
+        fleet_hosts.Host(f'h{number}', '', control=control)
+        for number in range(count)
+    ]
+
+
+def with_role(hosts, role):
+    return [
+        host.name
+        for host in hosts
+        if relay_plan.plan(host.name, hosts).role is role
+    ]
+
+
+def roots(hosts):
+    return with_role(hosts, relay_plan.Role.ROOT)
+
+
+class Requests:
+    """Requests of a host, without a decision state behind them."""
+
+    def __init__(self):
+        self.totals = None
+
+    def own_census(self):
+        return census.Census({'a': 1})
+
+    def share_census(self, totals):
+        self.totals = totals
+
+
+class Fleet:
+    """Listed hosts and one store with one entry.
+
+    :param hosts: all hosts.
+    :param running: names of those that answer others.
+    """
+
+    def __init__(self, hosts, running=()):
+        self.twin = memory_kv.MemoryKv(clock.SystemClock(), blocking=True)
+        self.twin.put('servers/a', b'x 1', kv.ABSENT)
+        self.servers = []
+        self.watches = {}
+        addresses = {name: self._serve(name) for name in running}
+        self.hosts = [
+            msgspec.structs.replace(
+                host, control=addresses.get(host.name, host.control)
+            )
+            for host in hosts
+        ]
+        for name in running:
+            self.watches[name] = self.watcher(
+                name, self.known(name), Requests()
+            )
+
+    def known(self, name):
+        """Return the hosts as one of them knows them."""
+        me = next(host for host in self.hosts if host.name == name)
+        hosts = fleet_hosts.FleetHosts(me)
+        hosts.replace(self.hosts, 0)
+        # Removals count at once while the store is calm.
+        hosts.lapses.store_answered(-60)
+        return hosts
+
+    def watcher(self, name, known, requests):
+        return relay_watch.RelayWatch(
+            self.twin, name, known, requests, describe
+        )
+
+    def close(self):
+        # A server that still serves would keep the test run from ending.
+        for server in self.servers:
+            server.stop()
+
+    def _serve(self, name):
+        """Return the address at which a host answers others."""
+        handler = functools.partial(self._answer, name)
+        server = ingress.Ingress(
+            ('127.0.0.1', 0), handler, caller.Limits(threads=2)
+        )
+        server.prepare()
+        threading.Thread(target=server.serve, daemon=True).start()
+        self.servers.append(server)
+        return '%s:%d' % server.bind_addr
+
+    def _answer(self, name, received):
+        inbound = ingress.Inbound(received)
+        content = self.watches[name].answer(inbound.body)
+        inbound.answer(200 if content else 503, [], content)
