Heed replicas that leave or ask for a pause, and bound what they may send

Change: a leaving start of a replica is remembered by its birth, whichever of entry and answer says so first; an entry of an earlier start is ignored. Pauses are a state of their own; while all replicas pause, callers are refused at once with the shortest rest, spread. Bounds on one answer stand in one module. An answer on a reused connection that names no request is not believed.

Ruled out: an answer behind an informational head in one packet passed before as well; endless header lines, trailers, chunk extensions and bodies were bounded before.

--- a/features/forwarding_router.py
+++ b/features/forwarding_router.py
@@ -173,6 +173,14 @@
     return b'%x\r\n%b\r\n' % (len(content), content)
 
 
+def events(first, last):
+    """Return the events that :func:`stream` sends."""
+    return b''.join(
+        b'id: %d\ndata: event %d\n\n' % (number, number)
+        for number in range(first, last + 1)
+    )
+
+
 def whole(_, conn, method, path, asked, body):
     conn.sendall(head(asked['papayaloom-request-id'], 10) + b'whole body')
     return True
--- /dev/null
+++ b/features/hostile_replica.py
@@ -0,0 +1,179 @@
+"""Scripts of replicas in trouble, for :mod:`features.fake_engine`."""
+
+import contextlib
+import threading
+import time
+
+from features import forwarding_router as fleets
+
+FLOOD = 16_384
+_TRICKLE_S = 0.1
+
+
+def flood(opening, piece):
+    """Return a script that sends a piece again and again until it is closed."""
+
+    def script(engine, conn, method, path, asked, body):
+        engine.sent_bytes = 0
+        conn.settimeout(20)
+        try:
+            conn.sendall(opening(asked))
+            while True:
+                conn.sendall(piece)
+                engine.sent_bytes += len(piece)
+        except OSError:
+            engine.left_at = time.monotonic()
+        return False
+
+    return script
+
+
+def trickle(opening, piece):
+    """Return a script that sends a short piece now and then until closed."""
+
+    def script(engine, conn, method, path, asked, body):
+        conn.sendall(opening(asked))
+        with contextlib.suppress(OSError):
+            while True:
+                conn.sendall(piece)
+                time.sleep(_TRICKLE_S)
+        engine.left_at = time.monotonic()
+        return False
+
+    return script
+
+
+def nothing(_asked):
+    return b''
+
+
+def begun_head(_asked):
+    return b'HTTP/1.1 200 OK\r\n'
+
+
+def own_head(asked):
+    return fleets.head(asked['papayaloom-request-id'])
+
+
+def head_without_length(asked):
+    return own_head(asked).replace(b'Transfer-Encoding: chunked\r\n', b'')
+
+
+def one_event(asked):
+    return own_head(asked) + fleets.chunk(b'id: 1\ndata: event 1\n\n')
+
+
+def last_chunk(asked):
+    return own_head(asked) + fleets.chunk(b'whole body') + b'0\r\n'
+
+
+def extension(asked):
+    return own_head(asked) + b'5;'
+
+
+FOREIGN = fleets.head('somebody-elses', 3) + b'old'
+FLOODS = {
+    'further heads': flood(nothing, b'HTTP/1.1 100 Continue\r\n\r\n' * 64),
+    'header lines': flood(begun_head, b'X-More: yes\r\n' * 64),
+    'one header line': flood(begun_head, b'x' * FLOOD),
+    'a chunk extension': flood(extension, b'x' * FLOOD),
+    'trailers': flood(last_chunk, b'X-More: yes\r\n' * 64),
+    'a body without length': flood(head_without_length, b'x' * FLOOD),
+    'a body in tiny chunks': flood(own_head, fleets.chunk(b'x') * 512),
+    'answers to others': flood(nothing, FOREIGN * 16),
+    'comments': flood(own_head, fleets.chunk(b': still here\n\n') * 64),
+    'one event': flood(one_event, fleets.chunk(b'x' * FLOOD)),
+}
+TRICKLES = {
+    'half events': trickle(one_event, fleets.chunk(b'x')),
+    'comments': trickle(one_event, fleets.chunk(b': still here\n\n')),
+    'header lines': trickle(begun_head, b'X-More: yes\r\n'),
+    'further heads': trickle(nothing, b'HTTP/1.1 100 Continue\r\n\r\n'),
+}
+
+
+def continued(_, conn, method, path, asked, body):
+    """Answer at once after an informational head, in one packet."""
+    own = fleets.head(asked['papayaloom-request-id'], 10) + b'whole body'
+    conn.sendall(b'HTTP/1.1 100 Continue\r\n\r\n' + own)
+    return True
+
+
+def longer(_, conn, method, path, asked, body):
+    """Go on after the end of the answer."""
+    request = asked['papayaloom-request-id']
+    own = fleets.head(request, len(request)) + request.encode()
+    conn.sendall(own + b'and more of it')
+    return True
+
+
+def doubled_nameless(_, conn, method, path, asked, body):
+    """Send a late second answer that names no request."""
+    request = asked['papayaloom-request-id']
+    conn.sendall(fleets.head(request, len(request)) + request.encode())
+    late = (
+        b'HTTP/1.1 200 OK\r\nPapayaloom-Response-Seal: seal-1\r\n'
+        b'Content-Length: 3\r\n\r\nold'
+    )
+    threading.Timer(0.15, _send_quietly, (conn, late)).start()
+    return True
+
+
+def _send_quietly(conn, content):
+    with contextlib.suppress(OSError):
+        conn.sendall(content)
+
+
+def slow_events(count, pause_s):
+    """Return a script that streams events with a pause before each."""
+
+    def script(engine, conn, method, path, asked, body):
+        conn.sendall(own_head(asked))
+        first = int(asked.get('last-event-id') or 0) + 1
+        for number in range(first, count + 1):
+            time.sleep(pause_s)
+            event = b'id: %d\ndata: event %d\n\n' % (number, number)
+            conn.sendall(fleets.chunk(event))
+        conn.sendall(b'0\r\n\r\n')
+        return True
+
+    return script
+
+
+def promising(status):
+    """Return a script that fails with a status that promises "not run"."""
+
+    def script(_, conn, method, path, asked, body):
+        request = asked['papayaloom-request-id']
+        conn.sendall(fleets.head(request, 4, f'{status} Busy') + b'busy')
+        return True
+
+    return script
+
+
+def leaving(_, conn, method, path, asked, body):
+    """Answer and say that this replica leaves."""
+    request = asked['papayaloom-request-id']
+    extra = {'Server-Leaving': '1'}
+    conn.sendall(fleets.head(request, 10, **extra) + b'whole body')
+    return True
+
+
+def pausing(seconds):
+    """Return a script that refuses and asks for a pause."""
+
+    def script(_, conn, method, path, asked, body):
+        conn.sendall(
+            b'HTTP/1.1 503 Busy\r\nPapayaloom-Not-Executed: 1\r\n'
+            b'Retry-After: %s\r\nContent-Length: 0\r\n\r\n'
+            % str(seconds).encode()
+        )
+        return True
+
+    return script
+
+
+ODD = {
+    script.__name__: script
+    for script in (continued, longer, doubled_nameless, leaving)
+}
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -7,83 +7,47 @@
 import behave
 
 from features import forwarding_router as fleets
-from papayaloom.request import onward
-
-
-def fleet(context):
-    if not hasattr(context, 'fleet'):
-        context.fleet = fleets.Fleet()
-        context.add_cleanup(context.fleet.close)
-    return context.fleet
-
-
-def start(context, script):
-    """Start a router that knows the routes and one replica."""
-    fleet(context).write(7)
-    context.fleet.add_replica(script)
-    context.router = context.fleet.start_router()
-    wait_for_replicas(context)
-
-
-def wait_for_replicas(context):
-    def known():
-        listed = context.router.dump()['dispatch']['replicas']
-        return len(listed) == len(context.fleet.replicas)
-
-    assert fleets.until(3, known), 'the replicas were not listed'
-
-
-def requests(context):
-    return [one for engine in context.fleet.replicas for one in engine.requests]
+from features import one_router
 
 
 @behave.given('a forwarding router with a replica that answers "{script}"')
 def router_with(context, script):
-    start(context, fleets.SCRIPTS[script])
+    one_router.start(context, fleets.SCRIPTS[script])
 
 
 @behave.given(
     'a forwarding router with a replica that streams {count:d} events'
 )
 def router_streams(context, count):
-    start(context, fleets.stream(count))
+    one_router.start(context, fleets.stream(count))
 
 
 @behave.given(
     'a forwarding router with a replica that breaks inside event {number:d}'
 )
 def router_breaks(context, number):
-    start(context, fleets.stream(9, breaks_at=number))
+    one_router.start(context, fleets.stream(9, breaks_at=number))
 
 
 @behave.given('a forwarding router that the store has told nothing')
 def router_told_nothing(context):
-    context.router = fleet(context).start_router()
+    context.router = one_router.fleet(context).start_router()
 
 
 @behave.given('another replica that answers "{script}"')
 def another_replica(context, script):
     context.fleet.add_replica(fleets.SCRIPTS[script])
-    wait_for_replicas(context)
+    one_router.wait_for_replicas(context)
 
 
 @behave.given('before it a replica that breaks inside event {number:d}')
 def breaks_before(context, number):
-    first(context, fleets.stream(5, breaks_at=number))
+    one_router.first(context, fleets.stream(5, breaks_at=number))
 
 
 @behave.given('before it a replica that falls silent after event {number:d}')
 def silent_before(context, number):
-    first(context, fleets.stream(5, silent_after=number))
-
-
-def first(context, script):
-    """Add a replica that gets the next request: the other one is busy."""
-    context.fleet.add_replica(script)
-    wait_for_replicas(context)
-    for name, running in (('i-1', 9), ('i-2', 0)):
-        load = onward.Load(running=running, waiting=0, slots=4)
-        context.router.desk.reported(name, load)
+    one_router.first(context, fleets.stream(5, silent_after=number))
 
 
 @behave.given('a store that is away')
@@ -150,6 +114,7 @@
     context.parts = b''
     with contextlib.closing(conn):
         answer = conn.getresponse()
+        context.status = answer.status
         context.is_complete = True
         try:
             context.parts = answer.read()
@@ -197,7 +162,7 @@
     'the replica got "{method}" "{target}" for the organisation "{name}" without the key'
 )
 def replica_got(context, method, target, name):
-    found = requests(context)[-1]
+    found = one_router.requests(context)[-1]
     assert found[:2] == (method, target), found
     assert found[2]['papayaloom-tenant-name'] == name
     assert 'authorization' not in found[2]
@@ -206,7 +171,7 @@
 @behave.then('the caller gets {status:d} and no replica got a request')
 def gets_and_none(context, status):
     assert context.answer.status == status, context.answer.status
-    assert not requests(context)
+    assert not one_router.requests(context)
 
 
 @behave.then('the caller gets {status:d} with a time to come back')
@@ -233,7 +198,9 @@
 )
 def gets_and_count(context, status, count):
     assert context.answer.status == status, context.answer.status
-    assert len(requests(context)) == count, len(requests(context))
+    assert len(one_router.requests(context)) == count, len(
+        one_router.requests(context)
+    )
     if status != 500:
         assert 'Papayaloom-Response-Seal' not in context.answer.headers
 
@@ -242,10 +209,7 @@
     'the caller gets the events {one:d} to {last:d} once each, and the answer is {state}'
 )
 def gets_events(context, one, last, state):
-    expected = b''.join(
-        b'id: %d\ndata: event %d\n\n' % (number, number)
-        for number in range(one, last + 1)
-    )
+    expected = fleets.events(one, last)
     assert context.parts == expected, context.parts
     assert context.is_complete == (state == 'complete')
 
--- /dev/null
+++ b/features/upstream_trouble.feature
@@ -0,0 +1,96 @@
+Feature: Upstreams in trouble cost their own request at most
+
+  Scenario Outline: Bytes without end are cut off, and the caller is told the truth
+    Given a forwarding router with a replica that sends <what> without end
+    When a caller sends "POST" to "/orders/x"
+    Then the caller gets 502 and the replicas got 1 requests
+    And the replica was cut off before it had sent 24 MB
+
+    Examples:
+      | what                  |
+      | further heads         |
+      | header lines          |
+      | one header line       |
+      | a chunk extension     |
+      | trailers              |
+      | a body without length |
+      | a body in tiny chunks |
+      | answers to others     |
+
+  Scenario Outline: A stream without end is cut off and does not look complete
+    Given a forwarding router with a replica that sends <what> without end
+    When a caller asks for the stream "/plain/x"
+    Then the caller gets no complete stream
+    And the replica was cut off before it had sent 8 MB
+
+    Examples:
+      | what              |
+      | comments          |
+      | one event         |
+      | a chunk extension |
+
+  Scenario Outline: A stream that sends bytes but no events goes on elsewhere
+    Given a forwarding router with a replica that streams 5 events
+    And before it a replica that sends <what> now and then
+    When a caller asks for the stream "/resumable/x"
+    Then the caller gets the events 1 to 5 once each, comments aside, and the answer is complete
+
+    Examples:
+      | what          |
+      | half events   |
+      | comments      |
+      | header lines  |
+      | further heads |
+
+  Scenario: A replica that sends a byte now and then is given up at the route's timeout
+    Given a forwarding router with a replica that sends header lines now and then
+    When a caller sends "POST" to "/orders/x"
+    Then the caller gets 504 after 0.8 s to 1.2 s
+
+  Scenario Outline: A stream that is slow but sound is not cut
+    Given a forwarding router with a replica that answers "fail"
+    And before it a replica that streams 5 events <pause> s apart
+    When a caller asks for the stream "<path>"
+    Then the caller gets the events 1 to 5 once each, and the answer is complete
+
+    Examples:
+      | path         | pause |
+      | /plain/x     | 1.2   |
+      | /resumable/x | 0.8   |
+
+  Scenario: An answer right behind an informational head is read at once
+    Given a forwarding router with a replica in trouble that answers "continued"
+    When a caller sends "POST" to "/orders/x"
+    Then the caller gets 200 with the body "whole body" and the replica's receipt
+
+  Scenario Outline: What belongs to no request reaches no caller
+    Given a forwarding router with a replica in trouble that answers "<script>"
+    And another replica in trouble that answers "<script>"
+    When over and over a caller sends "GET" to "/calls/x" 5 times
+    Then each time the caller gets 200 with its own body
+
+    Examples:
+      | script           |
+      | longer           |
+      | doubled_nameless |
+
+  Scenario: A late second answer is not taken for the answer to a call that must not run twice
+    Given a forwarding router with a replica in trouble that answers "doubled_nameless"
+    When over and over a caller sends "POST" to "/orders/x" 3 times
+    Then each time the caller gets its own body or 502
+
+  Scenario Outline: A status that promises "not run" is passed on only with that statement
+    Given a forwarding router with a replica that fails with <status>
+    When a caller sends "POST" to "/orders/x"
+    Then the caller gets 502 and the replicas got 1 requests
+
+    Examples:
+      | status |
+      | 408    |
+      | 429    |
+      | 503    |
+
+  Scenario: A broken stream does not look complete to a caller that knows no chunks
+    Given a forwarding router with a replica that breaks inside event 3
+    When a caller of HTTP/1.0 asks for the stream "/plain/x"
+    Then its connection is reset
--- a/papayaloom/connection/channel.py
+++ b/papayaloom/connection/channel.py
@@ -9,11 +9,13 @@
 import select
 import socket
 import time
+import typing
 
 import h11
 import msgspec
 
 from papayaloom import errors
+from papayaloom.connection import bounds
 from papayaloom.request import onward
 
 CONNECT_S = 0.3
@@ -52,7 +54,10 @@
     """
 
     def __init__(
-        self, address: tuple[str, int], connect_s: float = CONNECT_S
+        self,
+        address: tuple[str, int],
+        limits: bounds.Bounds = bounds.DEFAULT,
+        connect_s: float = CONNECT_S,
     ) -> None:
         """Connect.
 
@@ -63,7 +68,14 @@
         self.idle_s = float('inf')
         # Bytes of the present request are on their way.
         self.has_sent = False
-        self._parser = h11.Connection(h11.CLIENT)
+        # The upstream leaves: no further request may use the connection.
+        self.is_last = False
+        # A request was answered on this connection before.
+        self.is_reused = False
+        self._limits = limits
+        self._allowed_bytes = limits.answer
+        self._further_heads = 0
+        self._parser = self._new_parser()
         self._unsent = b''
         try:
             self._sock = socket.create_connection(address, timeout=connect_s)
@@ -77,6 +89,8 @@
     def send(self, head: Head, body: bytes) -> None:
         """Begin to send a request; the rest is sent while answers are read."""
         self.has_sent = False
+        self.allow(self._limits.answer)
+        self._further_heads = 0
         parts = [
             self._parser.send(
                 h11.Request(
@@ -92,6 +106,10 @@
         self._unsent = b''.join(part for part in parts if part)
         self._write()
 
+    def allow(self, allowed_bytes: int) -> None:
+        """Let the upstream send so much from now on."""
+        self._allowed_bytes = allowed_bytes
+
     def receive_head(self, until: float, caller_fd: int = -1) -> h11.Response:
         """Return the status and the headers of the answer.
 
@@ -125,7 +143,7 @@
         if self._unsent:
             raise self._broken('answered another request')
         extra, is_closed = self._parser.trailing_data
-        self._parser = h11.Connection(h11.CLIENT)
+        self._parser = self._new_parser()
         host = [(b'Host', b'upstream')]
         self._parser.send(
             h11.Request(method=head.method, target=head.target, headers=host)
@@ -139,13 +157,14 @@
 
         :returns: whether the connection can be used again.
         """
-        if self._unsent or self._parser.trailing_data[0]:
+        if self.is_last or self._unsent or self._parser.trailing_data[0]:
             return False
         if self._parser.our_state is not h11.DONE:
             return False
         if self._parser.their_state is not h11.DONE:
             return False
         self._parser.start_next_cycle()
+        self.is_reused = True
         self.used_at = time.monotonic()
         return True
 
@@ -167,16 +186,27 @@
             self._await(until, caller_fd)
 
     def _next(self) -> Event | None:
+        """Return the next part that has arrived; None when more is needed."""
+        while True:
+            event = self._parsed()
+            if isinstance(event, (h11.Response, h11.Data, h11.EndOfMessage)):
+                return event
+            if event is h11.NEED_DATA:
+                return None
+            if not isinstance(event, h11.InformationalResponse):
+                raise self._broken('closed without an answer')
+            self._further_heads += 1
+            if self._further_heads > self._limits.further_heads:
+                raise self._broken('sent informational heads without end')
+
+    def _parsed(self) -> typing.Any:
         try:
             event = self._parser.next_event()
         except h11.RemoteProtocolError as exc:
             raise self._broken(f'no answer in the protocol: {exc}') from exc
-        if isinstance(event, (h11.Response, h11.Data, h11.EndOfMessage)):
-            return event
-        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-            raise self._broken('closed without an answer')
-        # NEED_DATA, or an informational response.
-        return None
+        if event is not h11.NEED_DATA:
+            self._spend(bounds.PART_COST_BYTES)
+        return event
 
     def _await(self, until: float, caller_fd: int) -> None:
         poll = select.poll()
@@ -219,8 +249,19 @@
             return
         except OSError as exc:
             raise self._broken(f'reset: {exc}') from exc
+        self._spend(len(content))
         self._parser.receive_data(content)
 
+    def _spend(self, spent_bytes: int) -> None:
+        self._allowed_bytes -= spent_bytes
+        if self._allowed_bytes < 0:
+            raise self._broken('sent more than an answer may have')
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._limits.head
+        )
+
     def _broken(self, why: str) -> errors.UpstreamError:
         return errors.UpstreamError(
             f'upstream {self.address[0]}:{self.address[1]}: {why}',
--- a/papayaloom/connection/ingress.py
+++ b/papayaloom/connection/ingress.py
@@ -7,6 +7,8 @@
 import http
 import logging
 import math
+import socket
+import struct
 import time
 import typing
 
@@ -20,6 +22,9 @@
 
 _log = structlog.get_logger('ingress')
 _PROBLEM_TYPE = b'application/problem+json'
+_OLD_PROTOCOL = 'HTTP/1.0'
+# On, with no time to send what is left: closing resets the connection.
+_NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class BrokenOffError(errors.PapayaloomError):
@@ -115,13 +120,24 @@
 def break_off(received: typing.Any) -> None:
     """Close the connection, without the end chunk of an answer in parts.
 
-    So the answer looks incomplete to a caller that is still there.
+    So the answer looks incomplete to a caller that is still there. Where the
+    end of the connection ends the answer, the connection is reset.
     """
+    if received.sent_headers and received.response_protocol == _OLD_PROTOCOL:
+        _reset(received.conn.socket)
     received.close_connection = True
     received.sent_headers = True
     received.chunked_write = False
 
 
+def _reset(sock: socket.socket) -> None:
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        sock.close()
+    except OSError as exc:
+        _log.info('ingress: the caller had left', reason=str(exc))
+
+
 def send_whole(
     received: typing.Any, status: int, headers: onward.Headers, content: bytes
 ) -> None:
--- a/papayaloom/platform/headers.py
+++ b/papayaloom/platform/headers.py
@@ -17,10 +17,15 @@
 _PRIORITY = b'Papayaloom-Request-Priority'
 _LOAD = b'papayaloom-replica-load'
 _NOT_RUN = b'papayaloom-not-executed'
+_LEAVING = b'server-leaving'
+_RETRY_AFTER = b'retry-after'
 _KEY_SCHEME = 'Bearer '
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _LEAST_TIMEOUT_MS = 1
 _HIGHEST_PRIORITY = 9
+# A longer pause is a mistake of the replica: it would take it out of service.
+_LONGEST_PAUSE_S = 3600
 _PART_FIELDS = 2
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
@@ -118,6 +123,8 @@
             load=_load(found.get(_LOAD, b'')),
             idle_s=_idle_s(found.get(b'keep-alive', b'')),
             is_encoded=coding != b'identity',
+            is_leaving=found.get(_LEAVING, b'').strip() == b'1',
+            pause_s=_pause_s(status, found.get(_RETRY_AFTER, b'')),
         )
 
     def caller_headers(self, headers: onward.Headers) -> onward.Headers:
@@ -181,6 +188,18 @@
     return None
 
 
+def _pause_s(status: int, text: bytes) -> float | None:
+    """Return the seconds of a refusal; a date is not used on the platform."""
+    if status != _UNAVAILABLE:
+        return None
+    try:
+        pause_s = float(text)
+    except ValueError:
+        return None
+    # NaN fails this comparison too.
+    return min(pause_s, _LONGEST_PAUSE_S) if pause_s > 0 else None
+
+
 def _unreadable(name: bytes, text: bytes) -> errors.RefusedError:
     return errors.RefusedError(
         errors.Problem(
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -15,6 +15,7 @@
     budgets,
     census,
     ejection,
+    pauses,
     replicas,
     sightings,
     spread,
@@ -28,6 +29,8 @@
 _IDLE_SHARE = 0.35
 _RATIO_SHARE = 0.6
 _NO_BUDGET_S = 1.0
+# Callers of a paused service come back spread over so much of the pause more.
+_PAUSE_SPREAD = 0.25
 _LEAST_WORK_S = 0.02
 _USUAL_WORK_S = 1.0
 _CENSUS_EXPIRY_S = 3.0
@@ -124,6 +127,7 @@
         self._budgets = budgets.Budgets(cfg.repeats.share(hosts))
         self._ejections: dict[ids.ServiceId, ejection.Ejection] = {}
         self._unreachable: dict[str, float] = {}
+        self._pauses = pauses.Pauses()
 
     def resize(self, hosts: int) -> None:
         """Take the number of routers of the fleet."""
@@ -140,7 +144,7 @@
         ejections.update_upstreams(one.id for one in ready)
         candidates = self._candidates(wanted, ready, now)
         if not candidates:
-            return result.Err(_none_ready(wanted))
+            return result.Err(_none_ready(wanted, self._pause_s(ready, now)))
         if wanted.is_repeat and not self._budgets.spend(wanted.service, now):
             return result.Err(
                 errors.Problem(
@@ -192,6 +196,12 @@
             self._by_service.counts(census.RATE_SPAN_S, now),
         )
 
+    def paused(
+        self, replica: replicas.Replica, pause_s: float, now: float
+    ) -> None:
+        """Take a replica's wish to get nothing for some seconds."""
+        self._pauses.add(replica, pause_s, now)
+
     def share_census(self, totals: census.Census, now: float) -> None:
         """Take the requests of all routers."""
         names = [one.id for one in self.replicas.dump()]
@@ -217,6 +227,7 @@
                 for name, one in self._loads.sighted(names, now).items()
             },
             'unreachable': dict(self._unreachable),
+            'paused_s': self._pauses.dump(now),
             'ejections': {
                 service: part.dump(now)
                 for service, part in self._ejections.items()
@@ -289,7 +300,11 @@
         now: float,
     ) -> list[replicas.Replica]:
         """Return the replicas that may get it, the sound ones if any are."""
-        untried = [one for one in ready if one.id not in wanted.tried]
+        untried = [
+            one
+            for one in ready
+            if one.id not in wanted.tried and not self._pauses.left_s(one, now)
+        ]
         reachable = [
             one for one in untried if self._unreachable.get(one.id, 0) <= now
         ]
@@ -301,6 +316,11 @@
         ]
         return sound or reachable or untried
 
+    def _pause_s(self, ready: list[replicas.Replica], now: float) -> float:
+        """Return when to come back if the replicas of a service pause."""
+        shortest_s = pauses.shortest_s(self._pauses, ready, now)
+        return shortest_s * self._rng.uniform(1, 1 + _PAUSE_SPREAD)
+
     def _ejection(self, service: ids.ServiceId) -> ejection.Ejection:
         if service not in self._ejections:
             self._ejections[service] = ejection.Ejection(
@@ -316,10 +336,14 @@
     return max(running / per_s, _LEAST_WORK_S)
 
 
-def _none_ready(wanted: Wanted) -> errors.Problem:
+def _none_ready(wanted: Wanted, pause_s: float = 0) -> errors.Problem:
+    """Return the refusal of a request that no replica can take.
+
+    :param pause_s: time for which all of them pause, 0 if they don't.
+    """
     return errors.Problem(
         'no replica can take the request',
         503,
         detail=f'service {wanted.service}',
-        retry_after_s=_NONE_READY_S,
+        retry_after_s=pause_s or _NONE_READY_S,
     )
--- a/papayaloom/process/dispatch_actor.py
+++ b/papayaloom/process/dispatch_actor.py
@@ -7,7 +7,7 @@
 import structlog
 
 from papayaloom import clock
-from papayaloom.process import census, dispatch
+from papayaloom.process import census, dispatch, replicas
 from papayaloom.request import onward
 
 _log = structlog.get_logger('dispatch')
@@ -62,6 +62,23 @@
         """Tell the load that a replica states."""
         self.tell(lambda decisions, now: decisions.reported(replica, load, now))
 
+    def noticed(self, replica: replicas.Replica, marks: onward.Marks) -> None:
+        """Tell what a replica states about itself with an answer."""
+        if marks.load is not None:
+            self.reported(replica.id, marks.load)
+        if marks.is_leaving:
+            self.tell(lambda decisions, _: _leave(decisions, replica))
+        if marks.pause_s is not None:
+            pause_s = marks.pause_s
+            _log.info(
+                'dispatch: a replica asks for a pause',
+                replica=replica.id,
+                seconds=pause_s,
+            )
+            self.tell(
+                lambda decisions, now: decisions.paused(replica, pause_s, now)
+            )
+
     def own_census(self) -> census.Census:
         """Return the requests of this router."""
         return self.ask(lambda decisions, now: decisions.own_census(now))
@@ -77,3 +94,12 @@
     def tell(self, step: Step) -> None:
         """Run a step some time soon."""
         self._actor.tell(Run(step))
+
+
+def _leave(decisions: dispatch.Dispatch, replica: replicas.Replica) -> None:
+    if decisions.replicas.leave(replica):
+        _log.info(
+            'dispatch: a replica says that it leaves',
+            replica=replica.id,
+            born=replica.born,
+        )
--- a/papayaloom/process/forward_attempt.py
+++ b/papayaloom/process/forward_attempt.py
@@ -9,12 +9,13 @@
 import result
 
 from papayaloom import errors
-from papayaloom.connection import channel
+from papayaloom.connection import bounds, channel
 from papayaloom.process import dispatch_actor, forward_job, spread
 from papayaloom.request import forwarding, onward
 
-_MAX_ANSWER_BYTES = 8_388_608
 _SERVER_ERROR = 500
+# Callers take these as a promise that the request has not run.
+_PROMISES = frozenset((408, 421, 429, 503))
 _NOT_RUN = errors.Verdict.NOT_RUN
 _MAY_HAVE_RUN = errors.Verdict.MAY_HAVE_RUN
 
@@ -31,6 +32,7 @@
         conn: channel.Channel,
         desk: dispatch_actor.Desk,
         dialect: onward.Dialect,
+        limits: bounds.Bounds,
     ) -> None:
         """Keep the parts; the caller closes or keeps the connection."""
         self._job = job
@@ -38,6 +40,7 @@
         self._conn = conn
         self._desk = desk
         self._dialect = dialect
+        self._limits = limits
         # Monotonic time at which the present wait ends.
         self._until = time.monotonic()
 
@@ -91,20 +94,36 @@
 
         Late or doubled answers to earlier requests are read and dropped.
         """
-        while True:
+        for _ in range(self._limits.foreign_answers + 1):
             response = self._conn.receive_head(
                 self._until, self._job.inbound.caller_fd
             )
             marks = self._dialect.read_answer(
                 response.status_code, list(response.headers.raw_items())
             )
-            if marks.load is not None:
-                self._desk.reported(self._choice.replica.id, marks.load)
+            self._desk.noticed(self._choice.replica, marks)
+            self._conn.is_last = self._conn.is_last or marks.is_leaving
             self._conn.idle_s = marks.idle_s or self._conn.idle_s
-            if marks.request_id in {'', self._job.asked.request_id}:
+            if self._is_own(marks):
                 return response, marks
             self._read_body()
             self._conn.skip_answer(head)
+        raise errors.UpstreamError(
+            'too many answers to other requests', _MAY_HAVE_RUN
+        )
+
+    def _is_own(self, marks: onward.Marks) -> bool:
+        """Tell whether an answer belongs to this request.
+
+        On a connection that has served others, one that names no request may
+        be a late copy of an answer to them.
+        """
+        if not marks.request_id and self._conn.is_reused:
+            raise errors.UpstreamError(
+                'an answer on a reused connection names no request',
+                _MAY_HAVE_RUN,
+            )
+        return marks.request_id in {'', self._job.asked.request_id}
 
     def _whole(self, response: h11.Response) -> Outcome:
         job = self._job
@@ -113,17 +132,32 @@
             self._caller_headers(response),
             self._read_body(),
         )
-        if answer.status >= _SERVER_ERROR:
-            job.failed = answer
-            if job.route.is_repeatable and not job.progress.has_begun:
-                why = f'the replica failed with {answer.status}'
-                return _failed(_MAY_HAVE_RUN, why, replica_failed=True)
+        failure = self._failure(answer)
+        if failure is not None:
+            return result.Err(failure)
         if job.progress.has_begun:
             why = f'the stream went on with {answer.status}'
             return _failed(_MAY_HAVE_RUN, why)
         forward_job.deliver(job, answer)
         return result.Ok(answer.status)
 
+    def _failure(
+        self, answer: forward_job.Answer
+    ) -> forward_job.Failure | None:
+        """Return why an answer can't go to the caller; None if it can."""
+        job = self._job
+        if answer.status in _PROMISES:
+            # Not marked as "not run", so that it can't be passed on.
+            why = f'answered {answer.status} and may have run the request'
+            return forward_job.Failure(_MAY_HAVE_RUN, why, replica_failed=True)
+        if answer.status < _SERVER_ERROR:
+            return None
+        job.failed = answer
+        if job.progress.has_begun or not job.route.is_repeatable:
+            return None
+        why = f'the replica failed with {answer.status}'
+        return forward_job.Failure(_MAY_HAVE_RUN, why, replica_failed=True)
+
     def _stream(self, response: h11.Response) -> Outcome:
         joiner = self._job.joiner
         joiner.restart()
@@ -131,18 +165,25 @@
             part = self._receive_part()
             if part is None:
                 break
-            try:
-                content = joiner.feed(part)
-            except errors.CodecError as exc:
-                raise errors.UpstreamError(str(exc), _MAY_HAVE_RUN) from exc
-            if content:
-                self._pass_on(response, content)
+            self._take(response, part)
         if joiner.is_torn:
             raise errors.UpstreamError('ended inside an event', _MAY_HAVE_RUN)
         if not self._job.progress.has_begun:
             self._begin(response)
         return result.Ok(response.status_code)
 
+    def _take(self, response: h11.Response, part: bytes) -> None:
+        joiner = self._job.joiner
+        before = joiner.progress
+        try:
+            content = joiner.feed(part)
+        except errors.CodecError as exc:
+            raise errors.UpstreamError(str(exc), _MAY_HAVE_RUN) from exc
+        if content:
+            self._pass_on(response, content)
+        if joiner.progress > before:
+            self._went_on()
+
     def _pass_on(self, response: h11.Response, content: bytes) -> None:
         if not self._job.progress.has_begun:
             self._begin(response)
@@ -150,6 +191,10 @@
             self._job.inbound.write(content)
         except OSError as exc:
             raise channel.CallerGoneError(f'not written: {exc}') from exc
+
+    def _went_on(self) -> None:
+        """Let the stream wait and send anew: it brought an event."""
+        self._conn.allow(self._limits.event)
         self._wait(
             forwarding.pause_s(
                 self._job.route, self._job.progress, self._job.left_s()
@@ -175,15 +220,11 @@
 
     def _read_body(self) -> bytes:
         parts: list[bytes] = []
-        size = 0
         while True:
             part = self._receive_part()
             if part is None:
                 return b''.join(parts)
             parts.append(part)
-            size += len(part)
-            if size > _MAX_ANSWER_BYTES:
-                raise errors.UpstreamError('answer too long', _MAY_HAVE_RUN)
 
 
 def _failed(
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -10,7 +10,7 @@
 import structlog
 
 from papayaloom import errors
-from papayaloom.connection import channel, idle_pool, ingress
+from papayaloom.connection import bounds, channel, idle_pool, ingress
 from papayaloom.process import (
     dispatch,
     dispatch_actor,
@@ -32,6 +32,7 @@
     desk: dispatch_actor.Desk
     dialect: onward.Dialect
     pool: idle_pool.IdlePool
+    limits: bounds.Bounds = bounds.Bounds()
 
 
 class Forwarder:
@@ -106,7 +107,12 @@
             )
         try:
             outcome = forward_attempt.Attempt(
-                job, choice, conn, self._parts.desk, self._parts.dialect
+                job,
+                choice,
+                conn,
+                self._parts.desk,
+                self._parts.dialect,
+                self._parts.limits,
             ).run()
         except errors.UpstreamError as exc:
             conn.close()
@@ -122,6 +128,8 @@
         except BaseException:
             conn.close()
             raise
+        if conn.is_last:
+            self._parts.pool.drop(replica.id)
         if conn.finish():
             self._parts.pool.give(replica.id, conn)
         else:
@@ -134,7 +142,7 @@
         conn = self._parts.pool.take(
             replica.id, fresh=not job.route.is_repeatable
         )
-        return conn or channel.Channel(replica.address)
+        return conn or channel.Channel(replica.address, self._parts.limits)
 
     def _ended(
         self,
--- a/papayaloom/process/replicas.py
+++ b/papayaloom/process/replicas.py
@@ -1,9 +1,15 @@
-"""Replicas of the services, as the platform lists them.
+"""Replicas of the services, as the platform lists them and as they say.
 
 Answers outages of the store: entries of live replicas lapse with it and come
 back shortly after, so a removal counts at once only while the store is calm.
+
+A replica that leaves says so in its entry or in its answers, whichever comes
+first, and never takes it back: only another start of it takes new work again.
+So an entry that says "ready" loses against either word of the same start, and
+an entry of an earlier start says nothing about the present one.
 """
 
+import collections
 import enum
 import typing
 
@@ -13,6 +19,8 @@
 from papayaloom.process import lapses
 
 ReplicaId = typing.NewType('ReplicaId', str)
+# Leaving replicas that are remembered after their entries are gone.
+_KEPT_LEAVING = 4096
 
 
 class State(enum.Enum):
@@ -38,6 +46,11 @@
     state: State = State.READY
     born: int = 0
 
+    @property
+    def start(self) -> tuple[int, tuple[str, int]]:
+        """What tells one start of a replica from another."""
+        return self.born, self.address
+
 
 class Cfg(msgspec.Struct, frozen=True):
     """Bounds on lapsed entries.
@@ -58,6 +71,10 @@
         self._cfg = cfg
         self._known: dict[ReplicaId, Replica] = {}
         self._since: dict[ReplicaId, float] = {}
+        # Starts that said that they leave, the latest word last.
+        self._leaving: collections.OrderedDict[
+            ReplicaId, tuple[int, tuple[str, int]]
+        ] = collections.OrderedDict()
         self.lapses: lapses.Lapses[ReplicaId] = lapses.Lapses(cfg.lapse_s)
 
     def update(self, replica: Replica, now: float) -> bool:
@@ -66,13 +83,26 @@
         :returns: whether it is another process than before.
         """
         known = self._known.get(replica.id)
+        if known is not None and replica.born < known.born:
+            return False
         if known is None or known.born != replica.born:
             self._since[replica.id] = now
-        self._known[replica.id] = replica
+        self._known[replica.id] = self._with_own_word(replica)
         self.lapses.returned(replica.id)
-        return known is not None and (
-            (known.born, known.address) != (replica.born, replica.address)
-        )
+        return known is not None and known.start != replica.start
+
+    def leave(self, replica: Replica) -> bool:
+        """Take a replica's own word that it leaves.
+
+        :param replica: the start that said so; an answer may come late.
+        :returns: whether it is news.
+        """
+        known = self._known.get(replica.id)
+        if known is None or known.start != replica.start:
+            return False
+        self._remember_leaving(replica)
+        self._known[replica.id] = self._with_own_word(known)
+        return known.state is not State.DRAINING
 
     def remove(self, replica: ReplicaId, now: float) -> bool:
         """Take the removal of an entry.
@@ -140,6 +170,21 @@
         """Return all replicas."""
         return list(self._known.values())
 
+    def _with_own_word(self, replica: Replica) -> Replica:
+        """Return an entry with what this start has said before."""
+        if replica.state is State.DRAINING:
+            self._remember_leaving(replica)
+            return replica
+        if self._leaving.get(replica.id) != replica.start:
+            return replica
+        return msgspec.structs.replace(replica, state=State.DRAINING)
+
+    def _remember_leaving(self, replica: Replica) -> None:
+        self._leaving[replica.id] = replica.start
+        self._leaving.move_to_end(replica.id)
+        while len(self._leaving) > _KEPT_LEAVING:
+            self._leaving.popitem(last=False)
+
     def _forget(self, replica: ReplicaId) -> None:
         self._known.pop(replica, None)
         self._since.pop(replica, None)
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -268,8 +268,9 @@
             return
 
         def step(decisions: dispatch.Dispatch, now: float) -> bool:
-            _log_change(decisions.replicas.find(replica.id), replica)
+            before = decisions.replicas.find(replica.id)
             is_other = decisions.replicas.update(replica, now)
+            _log_change(before, decisions.replicas.find(replica.id))
             if is_other:
                 decisions.forget([replica.id])
             return is_other
@@ -304,9 +305,11 @@
 
 
 def _log_change(
-    known: replicas.Replica | None, replica: replicas.Replica
+    before: replicas.Replica | None, replica: replicas.Replica | None
 ) -> None:
-    if known is None or known.state is not replica.state:
+    if replica is None:
+        return
+    if before is None or before.state is not replica.state:
         _log.info(
             'view: replica listed',
             replica=replica.id,
--- a/papayaloom/request/events.py
+++ b/papayaloom/request/events.py
@@ -24,12 +24,16 @@
     Only whole events are returned, so that a stream that breaks in the middle
     of an event can go on at another replica without a torn or doubled event.
 
+    ``progress`` counts the events that the caller did not have, without
+    comments, which replicas send to keep a connection open.
+
     :param last: id of the last event that the caller already has.
     """
 
     def __init__(self, last: int | None = None) -> None:
         """Expect the event after the last one."""
         self.last = last
+        self.progress = 0
         self._rest = b''
 
     @property
@@ -55,6 +59,7 @@
             event = Event(content, _number(content))
             if self._is_new(event):
                 found.append(event.content)
+                self.progress += not _is_comment(content)
         if len(self._rest) > MAX_EVENT_BYTES:
             raise errors.CodecError(
                 f'an event is longer than {MAX_EVENT_BYTES} bytes'
@@ -85,6 +90,12 @@
         return True
 
 
+def _is_comment(content: bytes) -> bool:
+    return all(
+        not line or line.startswith(b':') for line in content.splitlines()
+    )
+
+
 def _number(content: bytes) -> int | None:
     for line in content.splitlines():
         if line.startswith(b'id:'):
--- a/papayaloom/request/onward.py
+++ b/papayaloom/request/onward.py
@@ -79,6 +79,9 @@
     :param idle_s: how long the replica keeps an idle connection; None when it
         does not say.
     :param is_encoded: the body has a content coding.
+    :param is_leaving: the replica is about to leave and wants no new work.
+    :param pause_s: time for which a replica that refuses wants nothing more
+        from this host; None when it does not say.
     """
 
     request_id: str = ''
@@ -87,6 +90,8 @@
     load: Load | None = None
     idle_s: float | None = None
     is_encoded: bool = False
+    is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class Dialect(typing.Protocol):
