Threads that follow the load

Change: a thread pool of its own starts a thread when a connection finds none free and ends those that nobody needed for ten seconds. Cheroot's thread for connections that it turns away is gone: none is, the queue has no bound.

Ruled out: cheroot's own grow() waits 0.1 s for each new thread, on the thread that accepts connections; a timer that grows the pool is late in a burst.

--- a/features/forwarding_router.py
+++ b/features/forwarding_router.py
@@ -69,6 +69,9 @@
         self.replicas = []
         self.routers = []
 
+    def is_store_up(self):
+        return self.standin.server.ready
+
     def write(self, version, routes=ROUTES):
         known = self.twin.get('op/config')
         expect = known.revision if known else kv.ABSENT
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -31,7 +31,11 @@
 
 @behave.given('a forwarding router that the store has told nothing')
 def router_told_nothing(context):
-    context.router = one_router.fleet(context).start_router()
+    fleet = one_router.fleet(context)
+    # The store's threads are not the router's.
+    fleets.until(1, fleet.is_store_up)
+    context.threads_before = set(threading.enumerate())
+    context.router = fleet.start_router()
 
 
 @behave.given('another replica that answers "{script}"')
--- /dev/null
+++ b/features/steps/workers_steps.py
@@ -0,0 +1,94 @@
+import concurrent.futures
+import http.client
+import threading
+import time
+from unittest import mock
+
+import behave
+
+from papayaloom.connection import caller, ingress, workers
+
+
+def start_server(context, seconds, most):
+    def handle(received):
+        time.sleep(seconds)
+        ingress.Inbound(received).answer(200, [], b'done')
+
+    context.server = ingress.Ingress(
+        ('127.0.0.1', 0), handle, caller.Limits(threads=most)
+    )
+    context.server.prepare()
+    threading.Thread(target=context.server.serve, daemon=True).start()
+    context.add_cleanup(context.server.stop)
+
+
+def call(address):
+    conn = http.client.HTTPConnection(*address, timeout=10)
+    conn.request('GET', '/')
+    status = conn.getresponse().status
+    conn.close()
+    return status
+
+
+@behave.given('a server whose answers take {seconds:g} s')
+def server(context, seconds):
+    start_server(context, seconds, 256)
+
+
+@behave.given(
+    'a server whose answers take {seconds:g} s, with at most {most:d} threads'
+)
+def bounded_server(context, seconds, most):
+    start_server(context, seconds, most)
+
+
+@behave.when('{count:d} callers arrive at once')
+def arrive(context, count):
+    begun = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        address = context.server.bind_addr
+        context.statuses = list(pool.map(call, [address] * count))
+    context.took_s = time.monotonic() - begun
+
+
+@behave.when('{seconds:d} s pass without callers')
+def pass_without(context, seconds):
+    time.sleep(seconds)
+
+
+@behave.when('{seconds:d} s pass at its threads')
+def pass_at_threads(context, seconds):
+    now = time.monotonic()
+    for later in range(1, seconds + 1):
+        with mock.patch.object(
+            workers.time, 'monotonic', return_value=now + later
+        ):
+            context.server.trim()
+    time.sleep(0.2)
+
+
+@behave.then('the router has started fewer than {count:d} threads')
+def fewer_threads(context, count):
+    started = set(threading.enumerate()) - context.threads_before
+    assert len(started) < count, sorted(one.name for one in started)
+
+
+@behave.then('the last of them is answered within {seconds:g} s')
+def last_within(context, seconds):
+    assert set(context.statuses) == {200}, context.statuses
+    assert context.took_s < seconds, context.took_s
+
+
+@behave.then('all of them are answered, and the server has {count:d} threads')
+def all_answered(context, count):
+    assert set(context.statuses) == {200}, context.statuses
+    assert len(context.server.requests) == count
+
+
+@behave.then('the server has at most {count:d} threads')
+def at_most(context, count):
+    alive = [
+        one for one in threading.enumerate() if one.name.startswith('CP Server')
+    ]
+    mine = [one for one in alive if one.server is context.server]
+    assert len(mine) <= count, len(mine)
--- /dev/null
+++ b/features/workers.feature
@@ -0,0 +1,24 @@
+Feature: The threads that serve callers follow the load
+
+  Scenario: A router without callers runs few threads
+    Given a forwarding router that the store has told nothing
+    When 1 s pass without callers
+    Then the router has started fewer than 16 threads
+
+  Scenario: Callers that arrive at once are all served at once
+    Given a server whose answers take 0.5 s
+    When 100 callers arrive at once
+    Then the last of them is answered within 1.5 s
+
+  Scenario: Above the bound callers wait for a thread
+    Given a server whose answers take 0.2 s, with at most 4 threads
+    When 8 callers arrive at once
+    Then all of them are answered, and the server has 4 threads
+
+  Scenario: Threads that nobody needs any more end, and a new burst starts them again
+    Given a server whose answers take 0.1 s
+    When 40 callers arrive at once
+    And 21 s pass at its threads
+    Then the server has at most 2 threads
+    When 40 callers arrive at once
+    Then the last of them is answered within 1 s
--- a/papayaloom/connection/caller.py
+++ b/papayaloom/connection/caller.py
@@ -28,7 +28,7 @@
     :param idle_s: for a connection without a request.
     :param idle: connections without a request; above that the oldest one is
         closed.
-    :param threads: requests served at the same time.
+    :param threads: requests served at the same time, at the most.
     :param backlog: connections that wait to be accepted.
     """
 
--- a/papayaloom/connection/ingress.py
+++ b/papayaloom/connection/ingress.py
@@ -188,7 +188,6 @@
         super().__init__(
             address,
             _Gateway,
-            minthreads=limits.threads,
             server_name='papayaloom',
         )
         self.handler = handler
--- a/papayaloom/connection/listening.py
+++ b/papayaloom/connection/listening.py
@@ -7,7 +7,7 @@
 
 from cheroot import server
 
-from papayaloom.connection import caller
+from papayaloom.connection import caller, workers
 
 
 class LimitedServer(server.HTTPServer):
@@ -15,23 +15,26 @@
 
     ConnectionClass = caller.Connection
     limits: caller.Limits
+    requests: workers.Workers
 
     def set_up(self, limits: caller.Limits) -> None:
         """Take the first limits; called once, after the constructor."""
         self._waiting: dict[typing.Any, None] = {}
+        self.requests = workers.Workers(self, limits.threads)
         self.configure(limits)
 
     def configure(self, limits: caller.Limits) -> None:
-        """Take new limits; the backlog stays, and threads only grow."""
+        """Take new limits; the backlog stays."""
         self.limits = limits
         self.timeout = math.ceil(limits.idle_s)
         self.max_request_header_size = limits.header_bytes
         self.max_request_body_size = limits.body_bytes
         self.keep_alive_conn_limit = limits.idle
-        missing = limits.threads - self.requests.min
-        if self.ready and missing > 0:
-            self.requests.grow(missing)
-            self.requests.min = limits.threads
+        self.requests.max = limits.threads
+
+    def trim(self) -> None:
+        """End threads that nobody needed for some time."""
+        self.requests.trim()
 
     def close_idle(self) -> None:
         """Close each connection after its answer, for a planned stop."""
@@ -56,3 +59,6 @@
             with contextlib.suppress(OSError):
                 oldest.socket.shutdown(socket.SHUT_RD)
         self.put_conn(conn)
+
+    def _serve_unservicable(self) -> None:
+        """Do nothing: connections wait without a bound, none is left over."""
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -33,13 +33,9 @@
 from papayaloom.version import routes
 
 _log = structlog.get_logger('gateway')
-_THREADS = 48
-_MOST_THREADS = 400
-_SIDE_THREADS = 2
+_THREADS = 400
+_SIDE_THREADS = 32
 _SWEEP_S = 1.0
-_GROW_S = 0.1
-_SPARE_THREADS = 8
-_GROWTH = 16
 _STOP_TICK_S = 0.1
 # A start takes that long with the store; without it, nobody knows.
 _STARTING_RETRY_S = 0.3
@@ -174,7 +170,6 @@
         for one in self._servers.values():
             threading.Thread(target=one.serve, daemon=True).start()
         self._timers.every(_SWEEP_S, self._sweep)
-        self._timers.every(_GROW_S, self._grow)
         self._timers.every(_STOP_TICK_S, self._tick_stop)
         self._timers.start()
         _log.info(
@@ -349,12 +344,8 @@
     def _sweep(self) -> None:
         self._pool.sweep()
         self._view.tick()
-
-    def _grow(self) -> None:
-        workers = self._front.requests
-        if workers.idle < _SPARE_THREADS:
-            if len(workers._threads) < _MOST_THREADS:
-                workers.grow(_GROWTH)
+        for one in self._servers.values():
+            one.trim()
 
     def _state(self) -> gateway_stop.State:
         return gateway_stop.state(
--- a/papayaloom/process/http_front.py
+++ b/papayaloom/process/http_front.py
@@ -309,7 +309,6 @@
         super().__init__(
             address,
             app,
-            numthreads=limits.threads,
             server_name='papayaloom',
             request_queue_size=limits.backlog,
             timeout=math.ceil(limits.idle_s),
