--- a/papayaloom/connection/workers.py
+++ b/papayaloom/connection/workers.py
@@ -6,6 +6,7 @@
 when it was not needed for some time.
 """
 
+import queue
 import threading
 import time
 import typing
@@ -24,6 +25,12 @@
     :param most: threads at the most; further connections wait.
     """
 
+    # Parts of cheroot's pool that its type stubs leave out.
+    _threads: list[threadpool.WorkerThread]
+    _queue: queue.Queue[typing.Any]
+    _spawn_worker: typing.Callable[[], threadpool.WorkerThread]
+    _clear_dead_threads: typing.Callable[[], None]
+
     def __init__(self, server: typing.Any, most: int) -> None:
         """Start without threads."""
         super().__init__(server, min=1, max=most)
