Long leases in large fleets, and word of hosts that fall silent

Each host registered twice at a cold start, because it did not know yet how many hosts there are.

Change: the term grows with the fleet (20 renewals a second for all hosts together); a host is listed once it has routes; a first lease fits both small and middle-sized fleets until the fleet is known; an entry that is missing from the view is written again.

Ruled out: leases of one fixed longer term (small fleets lose a dead host later); unconditional writes (a write of the process before may be done late).

--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -118,7 +118,8 @@
 @behave.when('the host that it follows says that the fleet has {totals}')
 def follows_totals(context, totals):
     totals = census.Census(json.loads(totals))
-    context.relay.take_totals(totals, context.now)
+    digest = relay.Digest(0, (), totals)
+    context.relay.take_fleet(digest, context.now)
 
 
 @behave.when('the store changes a value of {size:d} similar bytes')
--- a/papayaloom/process/fleet_hosts.py
+++ b/papayaloom/process/fleet_hosts.py
@@ -8,6 +8,8 @@
 
 # Longer than a live host takes to list itself again.
 _GRACE_S = 1.0
+# Word of silent hosts comes every 0.4 s; without it, all are named again.
+_SILENCE_S = 2.0
 
 
 class Host(msgspec.Struct, frozen=True):
@@ -37,6 +39,8 @@
         self._me = me
         self.lapses: lapses.Lapses[str] = lapses.Lapses(_GRACE_S)
         self._others: dict[str, Host] = {}
+        self._silent: frozenset[str] = frozenset()
+        self._silent_at = float('-inf')
 
     def update(self, host: Host) -> None:
         """Take a host."""
@@ -62,12 +66,26 @@
         for name in self.lapses.expired(now):
             self._others.pop(name, None)
 
-    def addresses(self, most: int, *, with_me: bool) -> list[str]:
+    def silence(self, names: typing.Iterable[str], now: float) -> None:
+        """Take the hosts that the fleet does not hear any more.
+
+        They keep their entries, but callers are not sent there.
+        """
+        self._silent = frozenset(names)
+        self._silent_at = now
+
+    def addresses(self, most: int, now: float, *, with_me: bool) -> list[str]:
         """Return the addresses that callers may use.
 
         :param with_me: whether this host takes new callers.
         """
-        known = {**self._others}
+        is_fresh = now - self._silent_at < _SILENCE_S
+        silent = self._silent if is_fresh else frozenset()
+        known = {
+            name: host
+            for name, host in self._others.items()
+            if name not in silent
+        }
         known.pop(self._me.name, None)
         if with_me:
             known[self._me.name] = self._me
@@ -75,6 +93,10 @@
             known[self._me.name] = self._me
         return sorted(host.address for host in known.values())[:most]
 
+    def is_listed(self) -> bool:
+        """Whether the store has an entry of this host."""
+        return self._me.name in self._others
+
     def all(self) -> list[Host]:
         """Return all hosts, this one included."""
         return list({**self._others, self._me.name: self._me}.values())
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -22,7 +22,6 @@
     forwarder,
     gateway_stop,
     presence,
-    relay_plan,
     relay_watch,
     side_endpoints,
     store_view,
@@ -45,7 +44,6 @@
 _IDLE_MARGIN_S = 10
 # Size of the fleet that is assumed until the hosts are listed.
 _FIRST_HOSTS = 6
-_LARGE_FLEET_TERMS = 2.5
 # Statuses for the log and the counters alone; no caller gets them.
 _CALLER_GONE = 499
 _BROKEN_OFF = 599
@@ -134,7 +132,7 @@
             store,
             f'{outside.keys.hosts}{cfg.host.name}',
             msgspec.json.encode(cfg.host),
-            self._lease_s,
+            self._view.as_fleet(cfg.lease_s),
         )
         self._timers = timers.Timers(self._clock)
         self._front = self._listen(cfg.addresses.callers, self._serve, _THREADS)
@@ -221,15 +219,6 @@
     def _listen_aside(self, address: tuple[str, int]) -> ingress.Ingress:
         return self._listen(address, self._side.serve, _SIDE_THREADS)
 
-    def _lease_s(self) -> float:
-        """Return the term of this host's entry.
-
-        One host of many is missed less, and renewals add up.
-        """
-        if self._view.hosts.count() > relay_plan.MOST_WATCHING:
-            return self._cfg.lease_s * _LARGE_FLEET_TERMS
-        return self._cfg.lease_s
-
     def _limit(self, limits: routes.CallerLimits) -> None:
         self._front.configure(
             caller.Limits(
--- a/papayaloom/process/relay.py
+++ b/papayaloom/process/relay.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from papayaloom.ports import kv
-from papayaloom.process import census
+from papayaloom.process import census, silence
 
 _KEPT_EVENTS = 4000
 # Age at which knowledge of the store is too old to be passed on.
@@ -32,12 +32,16 @@
     :param after: revision up to which the host knows the store.
     :param requests: those of the host and its followers.
     :param is_root: the host is a root, which followers of others don't ask.
+    :param heard: its followers, and theirs.
+    :param silent: hosts that a root does not hear any more.
     """
 
     host: str
     after: int
     requests: census.Census
     is_root: bool = False
+    heard: tuple[str, ...] = ()
+    silent: tuple[str, ...] = ()
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -61,6 +65,7 @@
     :param totals: requests of the whole fleet; None when they are not known.
     :param age_s: time since the store said so.
     :param is_lost: changes are missing; the asking host lists the store again.
+    :param silent: hosts that the roots do not hear any more.
     """
 
     revision: int
@@ -68,12 +73,20 @@
     totals: census.Census | None
     age_s: float = 0
     is_lost: bool = False
+    silent: tuple[str, ...] = ()
 
 
 class _Sum(msgspec.Struct, frozen=True):
     at: float
     requests: census.Census
     is_root: bool = False
+    heard: tuple[str, ...] = ()
+
+
+class _Fleet(msgspec.Struct, frozen=True):
+    at: float
+    requests: census.Census
+    silent: tuple[str, ...]
 
 
 def pack(event: kv.Event) -> Change:
@@ -113,8 +126,10 @@
         self._revision = 0
         self._seen_at = float('-inf')
         self._sums: dict[str, _Sum] = {}
-        self._fleet: _Sum | None = None
+        self._fleet: _Fleet | None = None
+        self._silence = silence.Silence()
         self._is_root = False
+        self._listed: typing.Collection[str] = ()
 
     def lead(self, *, is_root: bool) -> None:
         """Take whether this host adds up the requests of the whole fleet."""
@@ -155,19 +170,52 @@
         if not self.is_live(now):
             # It asks another host, and is counted there.
             return None
-        self._sums[report.host] = _Sum(now, report.requests, report.is_root)
+        self._take(report, now)
         totals = self.totals(own, now)
-        age_s = now - self._seen_at
-        if self._start is None or report.after < self._start:
-            return Digest(report.after, (), totals, age_s, is_lost=True)
+        is_lost = self._start is None or report.after < self._start
         news = tuple(
             event for event in self._events if event.revision > report.after
         )
-        return Digest(max(self._revision, report.after), news, totals, age_s)
+        return Digest(
+            report.after if is_lost else max(self._revision, report.after),
+            () if is_lost else news,
+            totals,
+            now - self._seen_at,
+            is_lost,
+            self.silent(now),
+        )
+
+    def take_fleet(self, digest: Digest, now: float) -> None:
+        """Take the state of the whole fleet from the host that was asked."""
+        if digest.totals is not None:
+            self._fleet = _Fleet(now, digest.totals, digest.silent)
+
+    def listed(self, names: typing.Collection[str]) -> None:
+        """Take the hosts that have an entry in the store."""
+        self._listed = names
+
+    def heard(self, now: float) -> tuple[str, ...]:
+        """Return the hosts that report here, directly or through others."""
+        self._drop_old(now)
+        return tuple(
+            name
+            for host, one in self._sums.items()
+            if not one.is_root
+            for name in (host, *one.heard)
+        )
+
+    def own_silent(self, now: float) -> tuple[str, ...]:
+        """Return the hosts of this root that have fallen silent."""
+        return tuple(self._silence.own(self._listed, now))
 
-    def take_totals(self, totals: census.Census, now: float) -> None:
-        """Take the requests of the whole fleet from the host that was asked."""
-        self._fleet = _Sum(now, totals)
+    def silent(self, now: float) -> tuple[str, ...]:
+        """Return the silent hosts of the whole fleet, as far as known."""
+        if self._is_root:
+            return tuple(self._silence.all(self._listed, now))
+        fleet = self._fleet
+        if fleet is not None and now - fleet.at < _SUM_EXPIRY_S:
+            return fleet.silent
+        return ()
 
     def subtotal(self, own: census.Census, now: float) -> census.Census:
         """Return the requests of this host and of its followers."""
@@ -185,11 +233,7 @@
     def _add(
         self, own: census.Census, now: float, *, with_roots: bool
     ) -> census.Census:
-        self._sums = {
-            host: one
-            for host, one in self._sums.items()
-            if now - one.at < _SUM_EXPIRY_S
-        }
+        self._drop_old(now)
         others = (
             one.requests
             for one in self._sums.values()
@@ -197,6 +241,24 @@
         )
         return census.add((own, *others))
 
+    def _take(self, report: Report, now: float) -> None:
+        self._sums[report.host] = _Sum(
+            now, report.requests, report.is_root, report.heard
+        )
+        if report.is_root:
+            self._silence.told(report.host, report.heard, report.silent, now)
+        self._silence.heard(
+            (report.host,) if report.is_root else (report.host, *report.heard),
+            now,
+        )
+
+    def _drop_old(self, now: float) -> None:
+        self._sums = {
+            host: one
+            for host, one in self._sums.items()
+            if now - one.at < _SUM_EXPIRY_S
+        }
+
     def _is_new(self, event: kv.Event) -> bool:
         if event.deleted:
             self._said.pop(event.key, None)
--- a/papayaloom/process/relay_watch.py
+++ b/papayaloom/process/relay_watch.py
@@ -75,6 +75,7 @@
         is_root = plan.role is relay_plan.Role.ROOT
         with self._lock:
             self._relay.lead(is_root=is_root)
+            self._relay.listed({one.name for one in self._hosts.all()})
         for host in plan.sources:
             watched = self._follow(host, after)
             if watched is not None:
@@ -123,8 +124,13 @@
         asked_at = time.monotonic()
         own = self._requests.own_census()
         with self._lock:
-            subtotal = self._relay.subtotal(own, asked_at)
-        digest = self._exchange(host, relay.Report(self._me, after, subtotal))
+            report = relay.Report(
+                self._me,
+                after,
+                self._relay.subtotal(own, asked_at),
+                heard=self._relay.heard(asked_at),
+            )
+        digest = self._exchange(host, report)
         if digest is None:
             return None
         try:
@@ -135,8 +141,8 @@
         watched = kv.Watched(events, digest.revision, digest.is_lost)
         with self._lock:
             self._relay.publish(after, watched, asked_at - digest.age_s)
-            if digest.totals is not None:
-                self._relay.take_totals(digest.totals, asked_at)
+            self._relay.take_fleet(digest, asked_at)
+        self._hosts.silence(digest.silent, asked_at)
         if digest.totals is not None:
             self._requests.share_census(digest.totals)
         return watched
@@ -157,13 +163,23 @@
     ) -> None:
         """Tell the other roots this host's sums, and use those of the fleet."""
         own = self._requests.own_census()
+        now = time.monotonic()
         with self._lock:
-            subtotal = self._relay.subtotal(own, time.monotonic())
+            report = relay.Report(
+                self._me,
+                revision,
+                self._relay.subtotal(own, now),
+                is_root=True,
+                heard=self._relay.heard(now),
+                silent=self._relay.own_silent(now),
+            )
         for host in peers:
-            report = relay.Report(self._me, revision, subtotal, is_root=True)
             self._exchange(host, report)
+        now = time.monotonic()
         with self._lock:
-            totals = self._relay.totals(own, time.monotonic())
+            totals = self._relay.totals(own, now)
+            silent = self._relay.silent(now)
+        self._hosts.silence(silent, now)
         if totals is not None:
             self._requests.share_census(totals)
 
--- a/papayaloom/process/side_endpoints.py
+++ b/papayaloom/process/side_endpoints.py
@@ -5,6 +5,7 @@
 """
 
 import http
+import time
 import typing
 
 import msgspec
@@ -74,7 +75,9 @@
         answer = None
         if self._knows_routes():
             addresses = self._parts.view.hosts.addresses(
-                _MOST_ADDRESSES, with_me=not self._parts.is_stopping()
+                _MOST_ADDRESSES,
+                time.monotonic(),
+                with_me=not self._parts.is_stopping(),
             )
             answer = self._parts.outside.directory_answer(
                 target, addresses, self._parts.ttl_s
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -19,6 +19,7 @@
     dispatch_actor,
     feed,
     fleet_hosts,
+    presence,
     replicas,
 )
 from papayaloom.request import onward
@@ -61,6 +62,25 @@
     is_readiness: typing.Callable[[str], bool]
 
 
+class _Fleet(msgspec.Struct, frozen=True):
+    """View of the fleet for :class:`papayaloom.process.presence.Presence`.
+
+    :param least_s: term of a lease in a small fleet.
+    """
+
+    view: 'StoreView'
+    least_s: float
+
+    def is_known(self) -> bool:
+        return self.view.table is not None
+
+    def lease_s(self) -> float:
+        return presence.term_s(self.view.hosts.count(), self.least_s)
+
+    def is_listed(self) -> bool:
+        return self.view.hosts.is_listed()
+
+
 class StoreView:
     """Route table, replicas and hosts.
 
@@ -95,6 +115,13 @@
         """Version of the route table, 0 without one."""
         return self.table.version if self.table else 0
 
+    def as_fleet(self, least_s: float) -> presence.Fleet:
+        """Return what this host's entry depends on.
+
+        :param least_s: term of its lease in a small fleet.
+        """
+        return _Fleet(self, least_s)
+
     def sources(self) -> tuple[feed.Source, ...]:
         """Return what the feed follows."""
         return tuple(
