The directory names the hosts that carry most

Change: a pure decision names the strongest hosts, as few as carry 0.8 of the most that could be carried when each gets the same share, and all equals of the weakest among them; fleets of up to twelve hosts are named whole.

--- a/features/steps/lapses_steps.py
+++ b/features/steps/lapses_steps.py
@@ -109,5 +109,5 @@
 
 @behave.then('the directory names {count:d} hosts')
 def directory_names(context, count):
-    named = context.hosts.addresses(64, 0, with_me=True)
+    named = context.hosts.named(0, with_me=True)
     assert len(named) == count, named
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -131,7 +131,9 @@
 
 @behave.then('its directory names "{names}"')
 def directory_names_these(context, names):
-    found = context.hosts.addresses(64, context.now, with_me=True)
+    found = [
+        one.address for one in context.hosts.named(context.now, with_me=True)
+    ]
     assert sorted(found) == names.split(), found
 
 
--- a/papayaloom/process/fleet_hosts.py
+++ b/papayaloom/process/fleet_hosts.py
@@ -74,24 +74,22 @@
         self._silent = frozenset(names)
         self._silent_at = now
 
-    def addresses(self, most: int, now: float, *, with_me: bool) -> list[str]:
-        """Return the addresses that callers may use.
+    def named(self, now: float, *, with_me: bool) -> list[Host]:
+        """Return the hosts that callers may use, in no order.
 
         :param with_me: whether this host takes new callers.
         """
         is_fresh = now - self._silent_at < _SILENCE_S
         silent = self._silent if is_fresh else frozenset()
-        known = {
+        named = {
             name: host
             for name, host in self._others.items()
             if name not in silent
         }
-        known.pop(self._me.name, None)
-        if with_me:
-            known[self._me.name] = self._me
-        if not known:
-            known[self._me.name] = self._me
-        return sorted(host.address for host in known.values())[:most]
+        named.pop(self._me.name, None)
+        if with_me or not named:
+            named[self._me.name] = self._me
+        return list(named.values())
 
     def is_listed(self) -> bool:
         """Whether the store has an entry of this host."""
--- a/papayaloom/process/side_endpoints.py
+++ b/papayaloom/process/side_endpoints.py
@@ -13,7 +13,13 @@
 
 from papayaloom import errors
 from papayaloom.connection import ingress
-from papayaloom.process import catch_up, relay_watch, store_view, tallies
+from papayaloom.process import (
+    address_choice,
+    catch_up,
+    relay_watch,
+    store_view,
+    tallies,
+)
 
 _log = structlog.get_logger('gateway')
 _MOST_ADDRESSES = 64
@@ -74,13 +80,14 @@
     ) -> None:
         answer = None
         if self._knows_routes():
-            addresses = self._parts.view.hosts.addresses(
-                _MOST_ADDRESSES,
-                time.monotonic(),
-                with_me=not self._parts.is_stopping(),
+            named = self._parts.view.hosts.named(
+                time.monotonic(), with_me=not self._parts.is_stopping()
             )
+            chosen = address_choice.choose(named, _MOST_ADDRESSES)
             answer = self._parts.outside.directory_answer(
-                target, addresses, self._parts.ttl_s
+                target,
+                sorted(one.address for one in chosen),
+                self._parts.ttl_s,
             )
         if answer is None:
             problem = errors.Problem('not known here', _UNAVAILABLE)
