A stopping router reads nothing that it can't answer, and passes urgency on

Change: the end of a stop shuts the server first (connections are closed with their requests unread) and waits until whatever was read is answered. The priority of the organisation, else of the route, goes to the replica.

After: workers.feature 6 passed, gateway.feature 31 passed.

--- a/features/forwarding_router.py
+++ b/features/forwarding_router.py
@@ -28,6 +28,7 @@
         'timeoutMs': 1000,
         'targetLatencyMs': 100,
         'maxAttempts': 1,
+        'priority': 3,
         **changes,
     }
 
@@ -54,7 +55,10 @@
             'version': version,
             'routes': routes,
             'services': [{'name': 'pool'}],
-            'tenants': [{'name': 'geckos', 'apiKeys': ['k1']}],
+            'tenants': [
+                {'name': 'geckos', 'apiKeys': ['k1']},
+                {'name': 'pythons', 'apiKeys': ['k2'], 'priority': 1},
+            ],
         }
     ).encode()
 
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -6,6 +6,16 @@
     Then the caller gets 200 with the body "whole body" and the replica's receipt
     And the replica got "GET" "/calls/x?y=1" for the organisation "geckos" without the key
 
+  Scenario Outline: The urgency of the organisation goes before that of the route
+    Given a forwarding router with a replica that answers "whole"
+    When with another key a caller sends "GET" to "/calls/x" with "<key>"
+    Then the replica was told the priority <priority>
+
+    Examples:
+      | key | priority |
+      | k1  | 3        |
+      | k2  | 1        |
+
   Scenario Outline: What no route or key allows is refused, and reaches no replica
     Given a forwarding router with a replica that answers "whole"
     When with another key a caller sends "GET" to "<path>" with "<key>"
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -172,6 +172,12 @@
     assert 'authorization' not in found[2]
 
 
+@behave.then('the replica was told the priority {priority}')
+def told_priority(context, priority):
+    found = one_router.requests(context)[-1][2]
+    assert found['papayaloom-request-priority'] == priority, found
+
+
 @behave.then('the caller gets {status:d} and no replica got a request')
 def gets_and_none(context, status):
     assert context.answer.status == status, context.answer.status
--- a/features/steps/workers_steps.py
+++ b/features/steps/workers_steps.py
@@ -10,7 +10,10 @@
 
 
 def start_server(context, seconds, most):
+    context.handled = 0
+
     def handle(received):
+        context.handled += 1
         time.sleep(seconds)
         ingress.Inbound(received).answer(200, [], b'done')
 
@@ -92,3 +95,55 @@
     ]
     mine = [one for one in alive if one.server is context.server]
     assert len(mine) <= count, len(mine)
+
+
+def arrive_and_shut(context, count, seconds):
+    pool = concurrent.futures.ThreadPoolExecutor(count)
+    context.add_cleanup(pool.shutdown)
+    address = context.server.bind_addr
+    context.calls = [pool.submit(call, address) for _ in range(count)]
+    time.sleep(seconds)
+    context.server.shut()
+
+
+@behave.when(
+    '{count:d} callers arrive at once, and it is shut after {seconds:g} s'
+)
+def shut_after(context, count, seconds):
+    arrive_and_shut(context, count, seconds)
+    assert context.server.wait_idle(2)
+
+
+@behave.when(
+    '{count:d} callers arrive at once, and it is shut after {seconds:g} s, without waiting'
+)
+def shut_without_waiting(context, count, seconds):
+    arrive_and_shut(context, count, seconds)
+
+
+@behave.then('all {count:d} are answered')
+def all_are_answered(context, count):
+    statuses = [one.result() for one in context.calls]
+    assert statuses == [200] * count, statuses
+
+
+@behave.then('a caller that arrives now is closed before its request is read')
+def closed_unread(context):
+    handled = context.handled
+    try:
+        call(context.server.bind_addr)
+    except (ConnectionError, http.client.RemoteDisconnected):
+        assert context.handled == handled
+        return
+    raise AssertionError('it was answered')
+
+
+@behave.then('the server is idle')
+def is_idle(context):
+    assert context.server.wait_idle(0)
+
+
+@behave.then('it is not idle within {seconds:g} s')
+def not_idle(context, seconds):
+    assert not context.server.wait_idle(seconds)
+    context.calls[0].result()
--- a/features/workers.feature
+++ b/features/workers.feature
@@ -22,3 +22,15 @@
     Then the server has at most 2 threads
     When 40 callers arrive at once
     Then the last of them is answered within 1 s
+
+  Scenario: A server that is shut answers what it has read and reads nothing more
+    Given a server whose answers take 0.3 s
+    When 20 callers arrive at once, and it is shut after 0.1 s
+    Then all 20 are answered
+    And a caller that arrives now is closed before its request is read
+    And the server is idle
+
+  Scenario: A server that still answers says that it is not idle
+    Given a server whose answers take 0.6 s
+    When 1 callers arrive at once, and it is shut after 0.1 s, without waiting
+    Then it is not idle within 0.1 s
--- a/papayaloom/connection/listening.py
+++ b/papayaloom/connection/listening.py
@@ -3,12 +3,15 @@
 import contextlib
 import math
 import socket
+import time
 import typing
 
 from cheroot import server
 
 from papayaloom.connection import caller, workers
 
+_IDLE_TICK_S = 0.01
+
 
 class LimitedServer(server.HTTPServer):
     """Cheroot server with limits on callers."""
@@ -20,6 +23,7 @@
     def set_up(self, limits: caller.Limits) -> None:
         """Take the first limits; called once, after the constructor."""
         self._waiting: dict[typing.Any, None] = {}
+        self._is_shut = False
         self.requests = workers.Workers(self, limits.threads)
         self.configure(limits)
 
@@ -40,12 +44,29 @@
         """Close each connection after its answer, for a planned stop."""
         self.keep_alive_conn_limit = 0
 
+    def shut(self) -> None:
+        """Read no further request; what was read is still answered."""
+        self._is_shut = True
+
+    def wait_idle(self, seconds: float) -> bool:
+        """Wait until no request is read or answered; tell whether it is so."""
+        until = time.monotonic() + seconds
+        while not self.requests.is_idle():
+            if time.monotonic() > until:
+                return False
+            time.sleep(_IDLE_TICK_S)
+        return True
+
     def process_conn(self, conn: typing.Any) -> None:
         """Give a connection to a worker when its first byte has arrived.
 
         Cheroot gives a new connection to a worker at once, so idle
         connections could take all workers.
         """
+        if self._is_shut:
+            # Closed with its request unread, so that it can be sent elsewhere.
+            conn.close()
+            return
         if conn.awaited:
             self._waiting.pop(conn, None)
             super().process_conn(conn)
--- a/papayaloom/connection/workers.py
+++ b/papayaloom/connection/workers.py
@@ -58,6 +58,12 @@
                 self._threads.append(self._spawn_worker())
         super().put(obj)
 
+    def is_idle(self) -> bool:
+        """Whether no thread has a connection and none waits for a thread."""
+        with self._lock:
+            self._clear_dead_threads()
+            return self._free >= len(self._threads)
+
     def trim(self) -> None:
         """End threads that nobody needed for some time."""
         now = time.monotonic()
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -36,6 +36,8 @@
 _SIDE_THREADS = 32
 _SWEEP_S = 1.0
 _STOP_TICK_S = 0.1
+# A refusal takes milliseconds; what runs longer has used up the grace time.
+_LAST_ANSWERS_S = 0.2
 # A start takes that long with the store; without it, nobody knows.
 _STARTING_RETRY_S = 0.3
 _AWAY_RETRY_S = (1.2, 2.4)
@@ -305,7 +307,7 @@
             service=routes.pick_target(route, self._rng.random()),
             organisation=organisation,
             version=table.version,
-            priority=None,
+            priority=routes.priority(table.organisation(asked.key), route),
             deadline=inbound.arrived_at + wait_s,
             joiner=events.Joiner(int(last) if last.isdigit() else None),
         )
@@ -345,9 +347,14 @@
         )
 
     def _tick_stop(self) -> None:
-        if self._state() is gateway_stop.State.ENDED:
-            _log.info('gateway: stopped', running=self._tally.running)
-            self._stopped.set()
+        if self._state() is not gateway_stop.State.ENDED:
+            return
+        # What was read before this gets its answer, the rest stays unread.
+        self._front.shut()
+        if not self._front.wait_idle(_LAST_ANSWERS_S):
+            _log.warning('gateway: requests are cut off by the stop')
+        _log.info('gateway: stopped', running=self._tally.running)
+        self._stopped.set()
 
 
 _FORWARDING = frozenset(
--- a/papayaloom/version/routes.py
+++ b/papayaloom/version/routes.py
@@ -142,3 +142,13 @@
         if left < 0:
             return target.service
     return route.targets[-1].service
+
+
+def priority(organisation: Organisation | None, route: Route) -> int:
+    """Return the urgency of a request, 0 first.
+
+    :param organisation: who sends it; its own priority goes first.
+    """
+    if organisation is None or organisation.priority is None:
+        return route.priority
+    return organisation.priority
