Hosts of a large fleet hardly ask a store that is away

For eight seconds the store resets all calls; each of 195 hosts tried its watch and its lease four times a second.

Change: a host of a large fleet that found neither relay nor store tries the store again after a pause that keeps all hosts together under 50 tries a second; it goes on asking the relays, which learn of the return from the roots. The lease thread waits for that word. A host without routes slows its tries down after the first twenty. Entries of hosts have three seconds to come back after an outage in large fleets: the word passes over two hosts.

Ruled out: longer pauses for the roots (all others wait for them).

--- a/features/lapses.feature
+++ b/features/lapses.feature
@@ -48,3 +48,11 @@
     Then the directory names 2 hosts
     When 2 s pass after that
     Then the directory names 1 hosts
+  Scenario: In a large fleet the hosts' entries have longer to come back
+    Given 20 hosts beside this one and a store that has answered for 10 s
+    When the store is away for 5 s and returns
+    And the other hosts' entries are removed
+    And 2 s pass after that
+    Then the directory names 21 hosts
+    When 2 s pass after that
+    Then the directory names 1 hosts
--- a/features/relay_fleet.py
+++ b/features/relay_fleet.py
@@ -1,6 +1,7 @@
 """Hosts of a large fleet, some of which answer the others over sockets."""
 
 import functools
+import random
 import threading
 
 import msgspec
@@ -87,7 +88,7 @@
 
     def watcher(self, name, known, requests):
         return relay_watch.RelayWatch(
-            self.twin, name, known, requests, describe
+            self.twin, name, known, requests, describe, random.Random(1)
         )
 
     def close(self):
--- a/features/silence.feature
+++ b/features/silence.feature
@@ -69,3 +69,23 @@
     And its entry vanishes from the store's view
     And its presence looks after its entry for 12 s
     Then the store granted 2 leases
+
+  Scenario: During an outage a host of a large fleet hardly asks the store, and is listed soon after
+    Given a host of a fleet of 195 that knows no routes yet
+    When it learns the routes
+    And the store goes away
+    And its presence looks after its entry for 12 s
+    Then it asked the store at most 6 times
+    When the store is back, and the host has word of it
+    And its presence looks after its entry for 1 s
+    Then the store has its entry
+
+  Scenario Outline: All hosts together try a store that is away at a bounded rate
+    Then <hosts> hosts try it <rate> times a second
+
+    Examples:
+      | hosts | rate |
+      | 6     | 24   |
+      | 80    | 50   |
+      | 195   | 50   |
+      | 360   | 50   |
--- a/features/steps/lapses_steps.py
+++ b/features/steps/lapses_steps.py
@@ -111,3 +111,20 @@
 def directory_names(context, count):
     named = context.hosts.named(0, with_me=True)
     assert len(named) == count, named
+
+
+@behave.given(
+    '{count:d} hosts beside this one and a store that has answered for {seconds:d} s'
+)
+def hosts_beside(context, count, seconds):
+    host_beside(context, seconds)
+    context.beside = ['b', *(f'h{number}' for number in range(1, count))]
+    for name in context.beside:
+        context.hosts.update(fleet_hosts.Host(name, name))
+    context.hosts.tick(context.now)
+
+
+@behave.when("the other hosts' entries are removed")
+def hosts_removed(context):
+    for name in context.beside:
+        context.hosts.remove(name, context.now)
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -1,9 +1,18 @@
+import random
+
 import behave
 
 from features import relay_fleet
-from papayaloom import clock
+from papayaloom import clock, errors
 from papayaloom.ports import kv
-from papayaloom.process import census, fleet_hosts, presence, relay, silence
+from papayaloom.process import (
+    census,
+    fleet_hosts,
+    presence,
+    relay,
+    silence,
+    store_pace,
+)
 from papayaloom.standins import kv as memory_kv
 
 
@@ -11,19 +20,26 @@
     """Fleet as :class:`presence.Presence` sees it."""
 
     def __init__(self, count):
-        self.count = count
+        self.hosts = count
         self.known = False
         self.listed = True
+        self.away = False
+
+    def count(self):
+        return self.hosts
 
     def is_known(self):
         return self.known
 
     def lease_s(self):
-        return presence.term_s(self.count, 1.2)
+        return presence.term_s(self.hosts, 1.2)
 
     def is_listed(self):
         return self.listed
 
+    def is_store_away(self):
+        return self.away
+
 
 @behave.given('a root that lists the hosts "{names}"')
 def root_lists(context, names):
@@ -149,7 +165,7 @@
     context.twin = memory_kv.MemoryKv(clock.SystemClock())
     context.few = FewHosts(count)
     context.presence = presence.Presence(
-        context.twin, 'hosts/me', b'me', context.few
+        context.twin, 'hosts/me', b'me', context.few, random.Random(1)
     )
     context.grants = []
     granted = context.twin.grant_lease
@@ -182,7 +198,10 @@
 @behave.when('its presence looks after its entry for {seconds:d} s')
 def looks_after(context, seconds):
     for _ in range(seconds * 4):
-        context.presence.step(context.now)
+        try:
+            context.presence.step(context.now)
+        except errors.StoreUnavailableError:
+            context.presence.failed(context.now)
         context.now += 0.25
 
 
@@ -200,3 +219,33 @@
 @behave.then('the store granted {count:d} leases')
 def granted_leases(context, count):
     assert len(context.grants) == count, context.grants
+
+
+@behave.when('the store goes away')
+def store_goes_away(context):
+    context.twin.faults.outage = True
+    context.few.away = True
+    context.tries_before = len(context.grants)
+
+
+@behave.when('the store is back, and the host has word of it')
+def store_returns(context):
+    context.twin.faults.outage = False
+    context.few.away = False
+
+
+@behave.then('it asked the store at most {most:d} times')
+def asked_at_most(context, most):
+    tries = len(context.grants) - context.tries_before
+    assert 0 < tries <= most, tries
+
+
+@behave.then('the store has its entry')
+def has_entry(context):
+    assert context.twin.get('hosts/me') is not None
+
+
+@behave.then('{hosts:d} hosts try it {rate:g} times a second')
+def tries_per_second(context, hosts, rate):
+    pause_s = store_pace.retry_s(hosts, 0.25, 0.5)
+    assert abs(hosts / pause_s - rate) < 0.5, hosts / pause_s
--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -19,8 +19,9 @@
 _log = structlog.get_logger('feed')
 PAUSE_S = 0.35
 _RETRY_S = 0.25
-# A host that knows nothing serves nobody.
+# A host that knows nothing serves nobody: it tries often at first.
 _FIRST_RETRY_S = 0.15
+_FIRST_RETRIES = 20
 _PAGE = 500
 
 
@@ -87,6 +88,7 @@
         self._revision: int | None = None
         self.is_store_away = False
         self._was_listed = False
+        self._first_tries = 0
 
     def start(self) -> None:
         """Run the thread."""
@@ -119,8 +121,9 @@
                 self.step()
             except errors.StoreUnavailableError as exc:
                 self._failed(exc)
-                retry_s = _RETRY_S if self._was_listed else _FIRST_RETRY_S
-                self._stopping.wait(self._rng.uniform(0.5, 1.5) * retry_s)
+                self._stopping.wait(
+                    self._rng.uniform(0.5, 1.5) * self._retry_s()
+                )
                 continue
             except Exception:
                 # The thread must go on: without it this host would keep to
@@ -133,6 +136,12 @@
             if self._revision is not None:
                 self._stopping.wait(PAUSE_S)
 
+    def _retry_s(self) -> float:
+        if self._was_listed:
+            return _RETRY_S
+        self._first_tries += 1
+        return _FIRST_RETRY_S * max(1, self._first_tries / _FIRST_RETRIES)
+
     def _answered(self) -> None:
         if self.is_store_away:
             self.is_store_away = False
--- a/papayaloom/process/fleet_hosts.py
+++ b/papayaloom/process/fleet_hosts.py
@@ -6,8 +6,12 @@
 
 from papayaloom.process import lapses
 
+# Up to this size every host watches the store itself.
+MOST_WATCHING = 12
 # Longer than a live host takes to list itself again.
 _GRACE_S = 1.0
+# Word of the store's return passes over two other hosts first.
+_LARGE_FLEET_GRACE_S = 3.0
 # Word of silent hosts comes every 0.4 s; without it, all are named again.
 _SILENCE_S = 2.0
 
@@ -63,6 +67,8 @@
 
     def tick(self, now: float) -> None:
         """Drop hosts whose entry did not come back."""
+        is_large = self.count() > MOST_WATCHING
+        self.lapses.wait_for(_LARGE_FLEET_GRACE_S if is_large else _GRACE_S)
         for name in self.lapses.expired(now):
             self._others.pop(name, None)
 
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -117,6 +117,7 @@
             self._view.hosts,
             self.desk,
             self._view.describe,
+            self._rng,
         )
         self._feed = feed.Feed(
             store,
@@ -134,7 +135,8 @@
             store,
             f'{outside.keys.hosts}{cfg.host.name}',
             msgspec.json.encode(cfg.host),
-            self._view.as_fleet(cfg.lease_s),
+            self._view.as_fleet(cfg.lease_s, lambda: self._feed.is_store_away),
+            self._rng,
         )
         self._timers = timers.Timers(self._clock)
         self._front = self._listen(cfg.addresses.callers, self._serve, _THREADS)
--- a/papayaloom/process/lapses.py
+++ b/papayaloom/process/lapses.py
@@ -22,6 +22,10 @@
         self._back_at: float | None = None
         self._missing: dict[_Name, float] = {}
 
+    def wait_for(self, grace_s: float) -> None:
+        """Take another time for entries to come back."""
+        self._grace_s = grace_s
+
     def store_failed(self) -> None:
         """Note that the store does not answer."""
         self._back_at = None
--- a/papayaloom/process/presence.py
+++ b/papayaloom/process/presence.py
@@ -5,6 +5,7 @@
 when a host falls silent (:mod:`papayaloom.process.silence`).
 """
 
+import random
 import threading
 import time
 import typing
@@ -13,7 +14,7 @@
 
 from papayaloom import errors
 from papayaloom.ports import kv
-from papayaloom.process import relay_plan
+from papayaloom.process import fleet_hosts, store_pace
 
 _log = structlog.get_logger('presence')
 # Renewals within one term, so that a lost one does not end it.
@@ -36,7 +37,7 @@
     :param hosts: number of hosts of the fleet.
     :param least_s: term in a small fleet.
     """
-    if hosts <= relay_plan.MOST_WATCHING:
+    if hosts <= fleet_hosts.MOST_WATCHING:
         return least_s
     return max(least_s, _RENEWALS * hosts / _FLEET_RENEWALS_PER_S)
 
@@ -53,18 +54,32 @@
     def is_listed(self) -> bool:
         """Whether this host's entry is in its own view of the store."""
 
+    def is_store_away(self) -> bool:
+        """Whether neither the store nor word of it is to be had."""
+
+    def count(self) -> int:
+        """Return the number of hosts of the fleet."""
+
 
 class Presence:
     """Thread that holds a lease and a key under it."""
 
     def __init__(
-        self, store: kv.Kv, key: str, content: bytes, fleet: Fleet
+        self,
+        store: kv.Kv,
+        key: str,
+        content: bytes,
+        fleet: Fleet,
+        rng: random.Random,
     ) -> None:
         """Prepare the thread."""
         self._store = store
         self._key = key
         self._content = content
         self._fleet = fleet
+        self._rng = rng
+        self._missed_at = float('-inf')
+        self._retry_s = _RETRY_S
         self._term_s = _FIRST_TERM_S
         self._lease = ''
         self._renewed_at = float('-inf')
@@ -87,7 +102,7 @@
 
         :raises papayaloom.errors.StoreUnavailableError: the store is away.
         """
-        if not self._fleet.is_known():
+        if not self._fleet.is_known() or self._waits(now):
             return
         if self._lease and self._fits(now):
             if now - self._renewed_at < self._term_s / _RENEWALS:
@@ -97,6 +112,20 @@
                 return
         self._register(now)
 
+    def failed(self, now: float) -> None:
+        """Note that the store did not answer."""
+        self._missed_at = now
+        self._retry_s = store_pace.retry_s(
+            self._fleet.count(), _RETRY_S, self._rng.random()
+        )
+
+    def _waits(self, now: float) -> bool:
+        """Tell whether the store is still away, or was so a moment ago."""
+        for_s = now - self._missed_at
+        if for_s >= self._retry_s:
+            return False
+        return self._fleet.is_store_away() or for_s < _RETRY_S
+
     def _fits(self, now: float) -> bool:
         """Tell whether the lease and the entry can stay as they are."""
         wanted_s = self._fleet.lease_s()
@@ -135,13 +164,13 @@
                 self.step(time.monotonic())
             except errors.StoreUnavailableError as exc:
                 _log.debug('presence: not renewed', reason=str(exc))
-                self._stopping.wait(_RETRY_S)
-                continue
+                self.failed(time.monotonic())
             self._stopping.wait(self._pause_s())
         self._end()
 
     def _pause_s(self) -> float:
-        if not self._lease:
+        is_missed = time.monotonic() - self._missed_at < self._retry_s
+        if is_missed or not self._lease:
             return _RETRY_S
         return min(_TICK_S, self._term_s / _RENEWALS)
 
--- a/papayaloom/process/relay_plan.py
+++ b/papayaloom/process/relay_plan.py
@@ -13,8 +13,6 @@
 from papayaloom import hashing
 from papayaloom.process import fleet_hosts
 
-# Up to this size every host watches the store itself.
-MOST_WATCHING = 12
 ROOTS = 2
 _HOSTS_PER_RELAY = 10
 # A host that tries more of them has no time left to ask the store.
@@ -51,7 +49,7 @@
 
     :param avoided: hosts that did not answer a moment ago.
     """
-    if len(hosts) <= MOST_WATCHING:
+    if len(hosts) <= fleet_hosts.MOST_WATCHING:
         return Plan(Role.ALONE)
     by_name = {host.name: host for host in hosts}
     relays = _relays(hosts)
--- a/papayaloom/process/relay_watch.py
+++ b/papayaloom/process/relay_watch.py
@@ -1,5 +1,6 @@
 """Follows the store's changes, itself or through other hosts."""
 
+import random
 import threading
 import time
 import typing
@@ -11,7 +12,13 @@
 
 from papayaloom import errors
 from papayaloom.ports import kv
-from papayaloom.process import census, fleet_hosts, relay, relay_plan
+from papayaloom.process import (
+    census,
+    fleet_hosts,
+    relay,
+    relay_plan,
+    store_pace,
+)
 
 PATH = '/exchange'
 # In a large fleet others wait for what this host learns, and a call that
@@ -51,6 +58,7 @@
         hosts: fleet_hosts.FleetHosts,
         requests: Requests,
         describe: typing.Callable[[str, bytes], object],
+        rng: random.Random,
     ) -> None:
         """Prepare; connects when asked."""
         self._store = store
@@ -58,6 +66,9 @@
         self._hosts = hosts
         self._requests = requests
         self._relay = relay.Relay(describe)
+        self._rng = rng
+        # The store is not asked before this time.
+        self._store_from = float('-inf')
         self._lock = threading.Lock()
         self._avoided: dict[str, float] = {}
         self._followed: fleet_hosts.Host | None = None
@@ -82,6 +93,10 @@
                 self._leave_unless(host, after)
                 return watched
         self._leave_unless(None, after)
+        if plan.sources and time.monotonic() < self._store_from:
+            raise errors.StoreUnavailableError(
+                'neither other hosts nor the store answered a moment ago'
+            )
         is_alone = plan.role is relay_plan.Role.ALONE
         watched = self._watch_store(
             after, _ALONE_WAIT_S if is_alone else _FLEET_WAIT_S
@@ -114,6 +129,9 @@
         except errors.StoreUnavailableError:
             with self._lock:
                 self._relay.fail()
+            self._store_from = time.monotonic() + store_pace.retry_s(
+                self._hosts.count(), 0, self._rng.random()
+            )
             raise
         with self._lock:
             self._relay.publish(after, watched, time.monotonic())
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -66,10 +66,12 @@
     """View of the fleet for :class:`papayaloom.process.presence.Presence`.
 
     :param least_s: term of a lease in a small fleet.
+    :param is_away: whether neither the store nor word of it is to be had.
     """
 
     view: 'StoreView'
     least_s: float
+    is_away: typing.Callable[[], bool]
 
     def is_known(self) -> bool:
         return self.view.table is not None
@@ -80,6 +82,12 @@
     def is_listed(self) -> bool:
         return self.view.hosts.is_listed()
 
+    def is_store_away(self) -> bool:
+        return self.is_away()
+
+    def count(self) -> int:
+        return self.view.hosts.count()
+
 
 class StoreView:
     """Route table, replicas and hosts.
@@ -115,12 +123,15 @@
         """Version of the route table, 0 without one."""
         return self.table.version if self.table else 0
 
-    def as_fleet(self, least_s: float) -> presence.Fleet:
+    def as_fleet(
+        self, least_s: float, is_away: typing.Callable[[], bool]
+    ) -> presence.Fleet:
         """Return what this host's entry depends on.
 
         :param least_s: term of its lease in a small fleet.
+        :param is_away: whether the store is away.
         """
-        return _Fleet(self, least_s)
+        return _Fleet(self, least_s, is_away)
 
     def sources(self) -> tuple[feed.Source, ...]:
         """Return what the feed follows."""
