--- a/features/forwarding_router.py
+++ b/features/forwarding_router.py
@@ -8,6 +8,7 @@
 import time
 
 from features import fake_engine
+from features.soak import proxy
 from papayaloom import clock
 from papayaloom.platform import main, store
 from papayaloom.ports import kv
@@ -72,6 +73,7 @@
         threading.Thread(target=self.standin.server.serve, daemon=True).start()
         self.replicas = []
         self.routers = []
+        self.proxies = []
 
     def is_store_up(self):
         return self.standin.server.ready
@@ -95,8 +97,13 @@
         content = json.dumps(entry).encode()
         assert self.twin.put(f'servers/{name}', content, kv.ABSENT).done
 
-    def start_router(self, seeds=()):
-        host, port = self.standin.server.bind_addr
+    def start_proxy(self):
+        """Return a way to the store that can be cut."""
+        self.proxies.append(proxy.Proxy(self.standin.server.bind_addr))
+        return self.proxies[-1]
+
+    def start_router(self, seeds=(), store_at=None):
+        host, port = store_at or self.standin.server.bind_addr
         # The metrics and the control server share the port numbers of tests.
         addresses = gateway.Addresses(*[('127.0.0.1', 0)] * 5)
         name = f'host-{len(self.routers) + 1}'
@@ -117,6 +124,8 @@
     def close(self):
         for router in self.routers:
             router.close()
+        for one in self.proxies:
+            one.close()
         self.standin.server.stop()
         for engine in self.replicas:
             engine.close()
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -119,6 +119,16 @@
     And a second forwarding router with the first as its seed
     Then within 3 s the second one answers "/calls/x" with 200
 
+  Scenario: A host that starts learns from the neighbour that was in touch last
+    Given a forwarding router with a replica that answers "whole"
+    And a second forwarding router that is cut off from the store
+    When the operator writes version 9 without the route "/calls/"
+    Then within 2 s a caller of "/calls/x" gets 404
+    Given a store that is away
+    And a third forwarding router with the second and the first as its seeds
+    Then within 3 s the third one answers "/calls/x" with 404
+    And the third one never answered "/calls/x" with 200
+
   Scenario: A host without the store asks callers to come back when it may serve
     Given a forwarding router with a replica that answers "whole"
     And a store that is away
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -8,6 +8,7 @@
 
 from features import forwarding_router as fleets
 from features import one_router
+from features.soak import proxy
 
 
 @behave.given('a forwarding router with a replica that answers "{script}"')
@@ -314,3 +315,47 @@
     answer = fleets.ask(context.second, 'GET', path)
     assert answer.status == 503, answer.status
     assert least <= float(answer.headers['Retry-After']) <= most, answer.headers
+
+
+@behave.given('a second forwarding router that is cut off from the store')
+def cut_off_router(context):
+    cut = context.fleet.start_proxy()
+    context.second = context.fleet.start_router(store_at=cut.address)
+
+    def knows():
+        return context.second.dump()['version'] == 7
+
+    assert fleets.until(3, knows)
+    cut.mode = proxy.Mode.RESET
+    # A host that has just been cut off has missed nothing.
+    time.sleep(2.5)
+
+
+@behave.given(
+    'a third forwarding router with the second and the first as its seeds'
+)
+def third_router(context):
+    seeds = [
+        context.second.addresses['control'],
+        context.router.addresses['control'],
+    ]
+    context.third = context.fleet.start_router(seeds)
+
+
+@behave.then(
+    'within {seconds:d} s the third one answers "{path}" with {status:d}'
+)
+def third_answers(context, seconds, path, status):
+    context.third_statuses = []
+
+    def answered():
+        answer = fleets.ask(context.third, 'GET', path)
+        context.third_statuses.append(answer.status)
+        return answer.status == status
+
+    assert fleets.until(seconds, answered), context.third_statuses
+
+
+@behave.then('the third one never answered "{path}" with {status:d}')
+def third_never(context, path, status):
+    assert status not in context.third_statuses, context.third_statuses
--- a/papayaloom/process/side_endpoints.py
+++ b/papayaloom/process/side_endpoints.py
@@ -96,8 +96,14 @@
         inbound.answer(_OK, [_JSON], answer)
 
     def _snapshot(self, inbound: ingress.Inbound) -> None:
-        content = self._parts.view.snapshot()
-        inbound.answer(_OK if content else _UNAVAILABLE, [], content)
+        view = self._parts.view
+        content = view.snapshot()
+        age = f'{view.age_s(time.monotonic()):.3f}'.encode()
+        inbound.answer(
+            _OK if content else _UNAVAILABLE,
+            [(catch_up.AGE.encode(), age)],
+            content,
+        )
 
     def _exchange(self, inbound: ingress.Inbound) -> None:
         try:
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -115,6 +115,7 @@
         # Held while a listing or a snapshot is taken.
         self._taking = threading.Lock()
         self._is_listed = False
+        self._heard_at = float('-inf')
         # Newest content of each key, for hosts that ask.
         self._entries: dict[str, bytes] = {}
 
@@ -151,8 +152,13 @@
             return self._outside.replica(key, content)
         return content
 
+    def age_s(self, now: float) -> float:
+        """Return the time since the store was heard, directly or not."""
+        return now - self._heard_at
+
     def store_answered(self) -> None:
         """Note an answer of the store."""
+        self._heard_at = time.monotonic()
         self.hosts.lapses.store_answered(time.monotonic())
         self._desk.tell(
             lambda decisions, now: decisions.replicas.lapses.store_answered(now)
