Part what an entry in the store depends on from the store's view

Change: the adapter is a module of its own. Behaviour is the same: gateway, silence and workers features passed.

--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -21,6 +21,7 @@
     forward_job,
     forwarder,
     gateway_stop,
+    own_entry,
     presence,
     relay_watch,
     side_endpoints,
@@ -135,7 +136,9 @@
             store,
             f'{outside.keys.hosts}{cfg.host.name}',
             msgspec.json.encode(cfg.host),
-            self._view.as_fleet(cfg.lease_s, lambda: self._feed.is_store_away),
+            own_entry.Conditions(
+                self._view, cfg.lease_s, lambda: self._feed.is_store_away
+            ),
             self._rng,
         )
         self._timers = timers.Timers(self._clock)
--- /dev/null
+++ b/papayaloom/process/own_entry.py
@@ -0,0 +1,39 @@
+"""What this host's entry in the store depends on, as its view tells."""
+
+import typing
+
+import msgspec
+
+from papayaloom.process import presence, store_view
+
+
+class Conditions(msgspec.Struct, frozen=True):
+    """View of the fleet for :class:`papayaloom.process.presence.Presence`.
+
+    :param least_s: term of a lease in a small fleet.
+    :param is_away: whether neither the store nor word of it is to be had.
+    """
+
+    view: store_view.StoreView
+    least_s: float
+    is_away: typing.Callable[[], bool]
+
+    def is_known(self) -> bool:
+        """Whether this host knows what to serve."""
+        return self.view.table is not None
+
+    def lease_s(self) -> float:
+        """Return the wanted term of this host's lease."""
+        return presence.term_s(self.count(), self.least_s)
+
+    def is_listed(self) -> bool:
+        """Whether this host's entry is in its own view of the store."""
+        return self.view.hosts.is_listed()
+
+    def is_store_away(self) -> bool:
+        """Whether neither the store nor word of it is to be had."""
+        return self.is_away()
+
+    def count(self) -> int:
+        """Return the number of hosts of the fleet."""
+        return self.view.hosts.count()
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -19,7 +19,6 @@
     dispatch_actor,
     feed,
     fleet_hosts,
-    presence,
     replicas,
 )
 from papayaloom.request import onward
@@ -62,33 +61,6 @@
     is_readiness: typing.Callable[[str], bool]
 
 
-class _Fleet(msgspec.Struct, frozen=True):
-    """View of the fleet for :class:`papayaloom.process.presence.Presence`.
-
-    :param least_s: term of a lease in a small fleet.
-    :param is_away: whether neither the store nor word of it is to be had.
-    """
-
-    view: 'StoreView'
-    least_s: float
-    is_away: typing.Callable[[], bool]
-
-    def is_known(self) -> bool:
-        return self.view.table is not None
-
-    def lease_s(self) -> float:
-        return presence.term_s(self.view.hosts.count(), self.least_s)
-
-    def is_listed(self) -> bool:
-        return self.view.hosts.is_listed()
-
-    def is_store_away(self) -> bool:
-        return self.is_away()
-
-    def count(self) -> int:
-        return self.view.hosts.count()
-
-
 class StoreView:
     """Route table, replicas and hosts.
 
@@ -124,16 +96,6 @@
         """Version of the route table, 0 without one."""
         return self.table.version if self.table else 0
 
-    def as_fleet(
-        self, least_s: float, is_away: typing.Callable[[], bool]
-    ) -> presence.Fleet:
-        """Return what this host's entry depends on.
-
-        :param least_s: term of its lease in a small fleet.
-        :param is_away: whether the store is away.
-        """
-        return _Fleet(self, least_s, is_away)
-
     def sources(self) -> tuple[feed.Source, ...]:
         """Return what the feed follows."""
         return tuple(
