--- a/features/machines/run.py
+++ b/features/machines/run.py
@@ -17,6 +17,7 @@
     ledger_machine,
     membership_machine,
     orders_machine,
+    own_word_machine,
     settings_store,
     stream_machine,
 )
@@ -28,6 +29,7 @@
     'ledger': (ledger_machine.LedgerMachine, 50, 60),
     'membership': (membership_machine.Machine, 3, 10),
     'orders': (orders_machine.OrdersMachine, 20, 40),
+    'own words': (own_word_machine.OwnWordMachine, 60, 50),
     'settings': (settings_store.SettingsStore, 30, 30),
     'stream': (stream_machine.StreamMachine, 50, 25),
 }
--- a/features/own_word.feature
+++ b/features/own_word.feature
@@ -72,3 +72,15 @@
       | 503    | Retry-After: inf      | no     | 3600  |
       | 503    | Retry-After: tomorrow | no     | no    |
       | 429    | Retry-After: 2        | no     | no    |
+
+  Scenario: No order of words, entries and outages gives work to a replica that wants none
+    Then the machine of own words finds nothing in 60 runs of 50 steps
+
+  Scenario Outline: The machine of own words finds deliberate faults
+    Then it finds the fault "<fault>" in 60 runs of 50 steps
+
+    Examples:
+      | fault                             |
+      | an entry undoes a word            |
+      | pauses are ignored                |
+      | a shorter pause ends a longer one |
--- a/features/steps/own_word_steps.py
+++ b/features/steps/own_word_steps.py
@@ -5,6 +5,7 @@
 
 from features import forwarding_router as fleets
 from features import hostile_replica, one_router
+from features.machines import deterministic, own_word_machine
 from papayaloom import errors, ids
 from papayaloom.platform import headers
 from papayaloom.process import dispatch, replicas
@@ -152,3 +153,19 @@
     assert context.marks.is_leaving == (leaves == 'yes')
     expected = None if pause == 'no' else float(pause)
     assert context.marks.pause_s == expected, context.marks
+
+
+@behave.then(
+    'the machine of own words finds nothing in {examples:d} runs of {steps:d} steps'
+)
+def finds_nothing(context, examples, steps):
+    deterministic.run(own_word_machine.OwnWordMachine, steps, examples)
+
+
+@behave.then(
+    'it finds the fault "{fault}" in {examples:d} runs of {steps:d} steps'
+)
+def finds_fault(context, fault, examples, steps):
+    machine = own_word_machine.OwnWordMachine
+    put = own_word_machine.FAULTS[fault]
+    assert deterministic.finds(machine, steps, examples, put)
