Name what takes a list so that it reads as taking one

Cause: read as a newcomer, relay.listed() and hosts.silence() look like questions or orders; they take what another part says. Renamed to take_listed and take_silent; silence.feature and relay.feature passed.

--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -137,7 +137,7 @@
 
 @behave.when('it hears that "{names}" is silent')
 def hears_silent(context, names):
-    context.hosts.silence(names.split(), context.now)
+    context.hosts.take_silent(names.split(), context.now)
 
 
 @behave.when('{seconds:g} s pass without word')
--- a/papayaloom/process/fleet_hosts.py
+++ b/papayaloom/process/fleet_hosts.py
@@ -72,7 +72,7 @@
         for name in self.lapses.expired(now):
             self._others.pop(name, None)
 
-    def silence(self, names: typing.Iterable[str], now: float) -> None:
+    def take_silent(self, names: typing.Iterable[str], now: float) -> None:
         """Take the hosts that the fleet does not hear any more.
 
         They keep their entries, but callers are not sent there.
--- a/papayaloom/process/relay.py
+++ b/papayaloom/process/relay.py
@@ -190,7 +190,7 @@
         if digest.totals is not None:
             self._fleet = _Fleet(now, digest.totals, digest.silent)
 
-    def listed(self, names: typing.Collection[str]) -> None:
+    def take_listed(self, names: typing.Collection[str]) -> None:
         """Take the hosts that have an entry in the store."""
         self._listed = names
 
--- a/papayaloom/process/relay_watch.py
+++ b/papayaloom/process/relay_watch.py
@@ -86,7 +86,7 @@
         is_root = plan.role is relay_plan.Role.ROOT
         with self._lock:
             self._relay.lead(is_root=is_root)
-            self._relay.listed({one.name for one in self._hosts.all()})
+            self._relay.take_listed({one.name for one in self._hosts.all()})
         for host in plan.sources:
             watched = self._follow(host, after)
             if watched is not None:
@@ -160,7 +160,7 @@
         with self._lock:
             self._relay.publish(after, watched, asked_at - digest.age_s)
             self._relay.take_fleet(digest, asked_at)
-        self._hosts.silence(digest.silent, asked_at)
+        self._hosts.take_silent(digest.silent, asked_at)
         if digest.totals is not None:
             self._requests.share_census(digest.totals)
         return watched
@@ -197,7 +197,7 @@
         with self._lock:
             totals = self._relay.totals(own, now)
             silent = self._relay.silent(now)
-        self._hosts.silence(silent, now)
+        self._hosts.take_silent(silent, now)
         if totals is not None:
             self._requests.share_census(totals)
 
