The directory names hosts also where strong ones can't carry the fleet

Change: the most that could be carried is taken over the admissible numbers.

Ruled out: leases and silence (hosts were listed, and none was silent).

--- a/features/address_choice.feature
+++ b/features/address_choice.feature
@@ -19,3 +19,17 @@
     When the directory may name 64 hosts
     Then each of 5 zones has at least 5 of them
     And another order of the list changes nothing
+
+  Scenario Outline: A few strong hosts do not carry a fleet of very weak ones alone
+    Given a fleet of 6 hosts with 2 cores and 74 hosts with <weak> cores
+    When the directory may name 64 hosts
+    Then it names 6 of the strong ones and 58 of the weak ones
+
+    Examples:
+      | weak |
+      | 0.1  |
+      | 0.01 |
+      | 0    |
+
+  Scenario: Whatever the hosts are, the directory names some of them
+    Then each of 500 fleets of 1 to 200 hosts of any strength has hosts named, at least 12 if it has them
--- a/features/steps/address_choice_steps.py
+++ b/features/steps/address_choice_steps.py
@@ -1,4 +1,5 @@
 import collections
+import random
 
 import behave
 
@@ -20,10 +21,10 @@
 
 
 @behave.given(
-    'a fleet of {strong:d} hosts with {cores:g} cores and {weak:d} hosts with 0.5 cores'
+    'a fleet of {strong:d} hosts with {cores:g} cores and {weak:d} hosts with {few:g} cores'
 )
-def unequal_fleet(context, strong, cores, weak):
-    context.hosts = hosts('strong', strong, cores) + hosts('weak', weak, 0.5)
+def unequal_fleet(context, strong, cores, weak, few):
+    context.hosts = hosts('strong', strong, cores) + hosts('weak', weak, few)
 
 
 @behave.when('the directory may name {most:d} hosts')
@@ -52,3 +53,19 @@
 def other_order(context):
     turned = address_choice.choose(context.hosts[::-1], context.most)
     assert turned == context.named
+
+
+@behave.then(
+    'each of {fleets:d} fleets of 1 to {most:d} hosts of any strength has hosts named, at least {least:d} if it has them'
+)
+def names_some(context, fleets, most, least):
+    rng = random.Random(1)
+    for _ in range(fleets):
+        size = rng.randint(1, most)
+        fleet = [
+            one
+            for number in range(size)
+            for one in hosts(f'n{number}', 1, rng.choice((0, 0.1, 1, 2, 9)))
+        ]
+        named = address_choice.choose(fleet, 64)
+        assert min(least, size) <= len(named) <= 64, (size, len(named))
--- a/papayaloom/process/address_choice.py
+++ b/papayaloom/process/address_choice.py
@@ -26,20 +26,27 @@
     :param hosts: at least one.
     :param most: hosts that an answer may name.
     """
-    order = {
-        name: place
-        for place, name in enumerate(
-            hashing.rank('directory', [one.name for one in hosts], len(hosts))
-        )
-    }
-    strongest = sorted(hosts, key=lambda one: (-one.capacity, order[one.name]))[
-        :most
-    ]
-    carried = [number * one.capacity for number, one in enumerate(strongest, 1)]
-    enough = _ENOUGH * max(carried)
-    weakest = next(
-        one
-        for number, one in enumerate(strongest, 1)
-        if carried[number - 1] >= enough and number >= min(_LEAST, len(hosts))
-    )
+    strongest = _strongest_first(hosts)[:most]
+    weakest = strongest[_count(strongest) - 1]
     return [one for one in strongest if one.capacity >= weakest.capacity]
+
+
+def _strongest_first(
+    hosts: typing.Sequence[fleet_hosts.Host],
+) -> list[fleet_hosts.Host]:
+    """Return the hosts in an order that all hosts agree on."""
+    names = hashing.rank('directory', [one.name for one in hosts], len(hosts))
+    order = {name: place for place, name in enumerate(names)}
+    return sorted(hosts, key=lambda one: (-one.capacity, order[one.name]))
+
+
+def _count(strongest: typing.Sequence[fleet_hosts.Host]) -> int:
+    """Return how many of the strongest hosts carry enough."""
+    least = min(_LEAST, len(strongest))
+    carried = {
+        number: number * one.capacity
+        for number, one in enumerate(strongest, 1)
+        if number >= least
+    }
+    enough = _ENOUGH * max(carried.values())
+    return min(number for number, load in carried.items() if load >= enough)
