A replica's word that it leaves counts also while its entry has lapsed

An answer that says that its replica leaves was dropped when the replica's entry was gone just then; an entry that came back with the same start took work again. The state machine's oracle leaves this case out. own_word.feature, new row "entry gone, an answer of start 5 leaves, entry ready of start 5": failed before (30 passed, 1 failed).

Change: the word is remembered without an entry; one of an earlier start never replaces that of a later one.

After: own_word, lapses and spread features passed.

--- a/features/own_word.feature
+++ b/features/own_word.feature
@@ -11,6 +11,8 @@
       | an answer of start 5 leaves, entry ready of start 5     | no work |
       | entry draining of start 5, entry ready of start 5       | no work |
       | an answer of start 5 leaves, entry gone, entry ready of start 5 | no work |
+      | entry gone, an answer of start 5 leaves, entry ready of start 5 | no work |
+      | entry gone, an answer of start 5 leaves, entry ready of start 6 | work    |
       | an answer of start 5 leaves, entry ready of start 6     | work    |
       | entry ready of start 6, an answer of start 5 leaves     | work    |
       | entry ready of start 6, entry draining of start 5       | work    |
--- a/papayaloom/process/replicas.py
+++ b/papayaloom/process/replicas.py
@@ -98,7 +98,11 @@
         :returns: whether it is news.
         """
         known = self._known.get(replica.id)
-        if known is None or known.start != replica.start:
+        if known is None:
+            # Its entry may have lapsed, and may come back.
+            self._remember_leaving(replica)
+            return True
+        if known.start != replica.start:
             return False
         self._remember_leaving(replica)
         self._known[replica.id] = self._with_own_word(known)
@@ -180,6 +184,9 @@
         return msgspec.structs.replace(replica, state=State.DRAINING)
 
     def _remember_leaving(self, replica: Replica) -> None:
+        remembered = self._leaving.get(replica.id, replica.start)
+        if replica.start < remembered:
+            return
         self._leaving[replica.id] = replica.start
         self._leaving.move_to_end(replica.id)
         while len(self._leaving) > _KEPT_LEAVING:
