Log what a request has in common with its returns, and whether its replica ended

The fingerprint is that of the quarantine (organisation, target, body). The end of a replica is seen by a connection that is refused; a host that doesn't answer is no sign of it. No decision changes.

--- a/papayaloom/process/forward_job.py
+++ b/papayaloom/process/forward_job.py
@@ -27,6 +27,8 @@
 
     :param deadline: monotonic time at which the caller gets a final answer.
     :param version: version of the route table that judges it.
+    :param mark: equal for requests of equal organisation, target and body,
+        whatever their ids.
     :param failed: a replica's own failure, kept in case no other does better.
     :param joiner: events so far; nothing for a plain call.
     """
@@ -39,6 +41,7 @@
     priority: int | None
     deadline: float
     joiner: events.Joiner
+    mark: ids.Fingerprint = ids.Fingerprint('')
     version: int = 0
     progress: forwarding.Progress = msgspec.field(
         default_factory=forwarding.Progress
@@ -55,12 +58,14 @@
     """A failed attempt.
 
     :param replica_failed: whether the replica is to blame; None if not known.
+    :param has_ended: the replica's process ended with the attempt.
     """
 
     verdict: errors.Verdict
     why: str
     replica_failed: bool | None = None
     is_unreachable: bool = False
+    has_ended: bool = False
 
 
 def count(progress: forwarding.Progress, failure: Failure) -> None:
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -10,7 +10,7 @@
 import structlog
 
 from papayaloom import errors
-from papayaloom.connection import bounds, channel, idle_pool, ingress
+from papayaloom.connection import bounds, channel, idle_pool, ingress, probe
 from papayaloom.process import (
     dispatch,
     dispatch_actor,
@@ -116,10 +116,7 @@
             ).run()
         except errors.UpstreamError as exc:
             conn.close()
-            has_run = exc.verdict is not _NOT_RUN
-            return result.Err(
-                forward_job.Failure(exc.verdict, str(exc), has_run or None)
-            )
+            return result.Err(_broken(replica, exc))
         except channel.LateError:
             conn.close()
             return result.Err(
@@ -175,6 +172,7 @@
         _log.info(
             'forward: placed',
             request=job.asked.request_id,
+            fingerprint=job.mark,
             route=job.route.name,
             version=job.version,
             replica=choice.replica.id,
@@ -196,11 +194,26 @@
         _log.info(
             'forward: an attempt failed',
             request=job.asked.request_id,
+            fingerprint=job.mark,
             route=job.route.name,
             replica=replica.id,
             verdict=failure.verdict.value,
             why=failure.why,
+            has_ended=failure.has_ended,
             runs=job.progress.runs,
             left_s=round(job.left_s(), 3),
             step=step.value,
         )
+
+
+def _broken(
+    replica: replicas.Replica, exc: errors.UpstreamError
+) -> forward_job.Failure:
+    """Return the failure of an attempt whose connection broke."""
+    has_run = exc.verdict is not _NOT_RUN
+    return forward_job.Failure(
+        exc.verdict,
+        str(exc),
+        has_run or None,
+        has_ended=exc.crashed and probe.has_ended(replica.address),
+    )
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -9,7 +9,7 @@
 import msgspec
 import structlog
 
-from papayaloom import clock, errors
+from papayaloom import clock, errors, ids
 from papayaloom.connection import caller, channel, idle_pool, ingress
 from papayaloom.ports import kv
 from papayaloom.process import (
@@ -23,6 +23,7 @@
     gateway_stop,
     own_entry,
     presence,
+    quarantine,
     relay_watch,
     side_endpoints,
     store_view,
@@ -315,6 +316,7 @@
             priority=routes.priority(table.organisation(asked.key), route),
             deadline=inbound.arrived_at + wait_s,
             joiner=events.Joiner(int(last) if last.isdigit() else None),
+            mark=_fingerprint(inbound, organisation),
         )
 
     def _admit(self, inbound: ingress.Inbound) -> routes.RouteTable:
@@ -385,3 +387,12 @@
     if organisation is None:
         raise _refused('unknown key', 401)
     return organisation.name
+
+
+def _fingerprint(
+    inbound: ingress.Inbound, organisation: str
+) -> ids.Fingerprint:
+    """Return what a request has in common with its returns."""
+    target = inbound.target.decode('latin-1')
+    line = f'{inbound.method.decode()} {inbound.host}{target}'
+    return quarantine.fingerprint(organisation, line, inbound.body)
