A failing test: replicas go on ending under a request that comes again

Three gateway processes, six stand-in replicas that end when they begin to run the request and are back after 0.8 s as another start, two callers that send it again and again for 8 s.

--- /dev/null
+++ b/features/mortal_fleet.py
@@ -0,0 +1,218 @@
+"""Gateway processes, and replicas that end under a poison request."""
+
+import contextlib
+import http.client
+import json
+import random
+import socket
+import tempfile
+import threading
+import time
+import types
+
+from features import fake_engine
+from features import forwarding_router as fleets
+from features.soak import world
+from papayaloom import clock
+from papayaloom.ports import kv
+from papayaloom.standins import kv as memory_kv
+from papayaloom.standins import platform_store
+
+POISON = 'poison'
+_BACK_S = 0.8
+_EVENTS = 5
+_START_S = 10
+
+
+class _Engine(fake_engine.FakeEngine):
+    """Engine whose connections end with it."""
+
+    def __init__(self, script):
+        self._conns = set()
+        super().__init__(script)
+
+    def end(self):
+        self.close()
+        for conn in list(self._conns):
+            with contextlib.suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+
+    def _serve(self, conn):
+        self._conns.add(conn)
+        try:
+            super()._serve(conn)
+        finally:
+            self._conns.discard(conn)
+
+
+class Replica:
+    """A replica that ends when it begins to run a poison request.
+
+    It is back a moment later as another start.
+
+    :param runs_to: event of a poison stream at which the replica ends.
+    """
+
+    def __init__(self, twin, name, sent, *, keeps_id=False, runs_to=0):
+        self._twin = twin
+        self._name = name
+        self._sent = sent
+        self._keeps_id = keeps_id
+        self._runs_to = runs_to
+        self._starts = 0
+        self._timer = None
+        self.is_closed = False
+        self._start()
+
+    @property
+    def key(self):
+        start = 0 if self._keeps_id else self._starts
+        return f'servers/{self._name}-{start}'
+
+    def end(self):
+        self._engine.end()
+        if not self.is_closed:
+            self._timer = threading.Timer(_BACK_S, self._start)
+            self._timer.start()
+
+    def close(self):
+        self.is_closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer.join()
+        self._engine.end()
+
+    def _start(self):
+        self._remove()
+        self._starts += 1
+        self._engine = _Engine(self._script)
+        entry = {
+            'service': 'pool',
+            'address': self._engine.url.removeprefix('http://'),
+            'state': 'ready',
+            'slots': 16,
+            'born': time.time_ns() // 1_000_000,
+        }
+        content = json.dumps(entry).encode()
+        self._twin.put(self.key, content, kv.ABSENT)
+
+    def _remove(self):
+        known = self._twin.get(self.key) if self._starts else None
+        if known is not None:
+            self._twin.delete(self.key, known.revision)
+
+    def _script(self, engine, conn, method, path, asked, body):
+        request = asked['papayaloom-request-id']
+        self._sent.append((time.monotonic(), path, request))
+        if POISON in path:
+            if self._runs_to:
+                fleets.stream(self._runs_to)(
+                    engine, conn, method, path, asked, body
+                )
+            self.end()
+            return False
+        if path.startswith('/resumable/'):
+            script = fleets.stream(_EVENTS)
+            return script(engine, conn, method, path, asked, body)
+        return fleets.slow(engine, conn, method, path, asked, body)
+
+
+class Fleet:
+    """Store, replicas and gateway processes; closed as a context.
+
+    ``sent`` has the time, path and id of each request that reached a replica.
+    """
+
+    def __init__(self, gateways, replicas, **ways):
+        self.twin = memory_kv.MemoryKv(clock.SystemClock(), blocking=True)
+        self.sent = []
+        self._standin = platform_store.PlatformStore(
+            self.twin, ('127.0.0.1', 0)
+        )
+        threading.Thread(target=self._standin.server.serve, daemon=True).start()
+        self.twin.put('op/config', fleets.desired(7), kv.ABSENT)
+        self.replicas = [
+            Replica(self.twin, f'i-{number}', self.sent, **ways)
+            for number in range(replicas)
+        ]
+        self._folder = tempfile.TemporaryDirectory()
+        self.gateways = []
+        for _ in range(gateways):
+            self.add_gateway()
+
+    def add_gateway(self):
+        """Start one more process, and wait until it serves."""
+        gateway = world.Gateway(
+            f'g{len(self.gateways)}',
+            self._standin.server.bind_addr,
+            self._folder.name,
+        )
+        self.gateways.append(gateway)
+        assert fleets.until(_START_S, lambda: self._serves(gateway))
+        return gateway
+
+    def restart(self, gateway):
+        """Kill a process and start it again: it has forgotten all."""
+        gateway.close()
+        gateway.restart_if_ended()
+        assert fleets.until(_START_S, lambda: self._serves(gateway))
+
+    def poisoned(self):
+        """Return when the poison request reached a replica."""
+        return [at for at, path, _ in self.sent if POISON in path]
+
+    def close(self):
+        for gateway in self.gateways:
+            gateway.close()
+        for replica in self.replicas:
+            replica.close()
+        self._standin.server.stop()
+        self._folder.cleanup()
+
+    def _serves(self, gateway):
+        return ask(gateway, 'GET', '/calls/x').status == http.client.OK
+
+
+def ask(gateway, method, path, request='q-1'):
+    """Send a request; status 0 without a whole answer."""
+    router = types.SimpleNamespace(addresses={'callers': gateway.front})
+    try:
+        return fleets.ask(router, method, path, request=request)
+    except (OSError, http.client.HTTPException):
+        return types.SimpleNamespace(status=0, headers={})
+
+
+class Callers:
+    """Callers that send the same request again and again, at any gateway.
+
+    :param pause_s: pause after each answer.
+    """
+
+    def __init__(self, fleet, method, path, count=2, pause_s=0.15):
+        self.answers = []
+        self._fleet = fleet
+        self._asked = (method, path)
+        self._pause_s = pause_s
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,), daemon=True)
+            for number in range(count)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, number):
+        rng = random.Random(number)
+        sent = 0
+        while not self._stopping.is_set():
+            sent += 1
+            gateway = rng.choice(self._fleet.gateways)
+            request = f'{self._asked[1]}-{number}-{sent}'
+            answer = ask(gateway, *self._asked, request)
+            self.answers.append((time.monotonic(), answer))
+            self._stopping.wait(self._pause_s)
