Stop a request under which replicas end, at every host

Cause: nothing connected the returns of a request. Each host forgot it with its last attempt, no host told another, a host that starts knew nothing. The retry budget can't help: a return's first attempt is no retry.

Change: a host that sees a replica's process end under a request (its port refuses) reports the request's fingerprint; reports go to the other hosts of a small fleet directly, and to the store, from where all hosts and those that start later have them, under a lease of ten minutes. Two ends before the answer has gone beyond its first event condemn, else three (also while other replicas end close by, or another condemned request explains one of the two). A condemned request is refused at once: 503, not run, with Retry-After. A whole answer clears it. Suspects are placed apart.

--- a/features/mortal_fleet.py
+++ b/features/mortal_fleet.py
@@ -106,9 +106,8 @@
         self._sent.append((time.monotonic(), path, request))
         if POISON in path:
             if self._runs_to:
-                fleets.stream(self._runs_to)(
-                    engine, conn, method, path, asked, body
-                )
+                script = fleets.stream(self._runs_to + 1, self._runs_to)
+                script(engine, conn, method, path, asked, body)
             self.end()
             return False
         if path.startswith('/resumable/'):
--- a/papayaloom/platform/documents.py
+++ b/papayaloom/platform/documents.py
@@ -11,7 +11,10 @@
 from papayaloom.version import routes
 
 KEYS = store_view.Keys(
-    routes='op/config', replicas='servers/', hosts='papayaloom/hosts/'
+    routes='op/config',
+    replicas='servers/',
+    hosts='papayaloom/hosts/',
+    poison='papayaloom/poison/',
 )
 _KINDS = types.MappingProxyType(
     {
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -16,6 +16,8 @@
     census,
     ejection,
     pauses,
+    poison,
+    quarantine,
     replicas,
     sightings,
     spread,
@@ -71,12 +73,14 @@
         consecutive=4, window=16, base_s=2, longest_s=8
     )
     repeats: RepeatBound = RepeatBound()
+    blaming: poison.Cfg = poison.Cfg()
 
 
 class Wanted(msgspec.Struct, frozen=True):
     """A request that needs a replica.
 
     :param prefix: name of its shared prompt prefix, or empty.
+    :param mark: what it has in common with its returns.
     :param tried: replicas that have had it.
     :param is_repeat: a replica has received it before.
     """
@@ -85,6 +89,7 @@
     prefix: str = ''
     tried: frozenset[str] = frozenset()
     is_repeat: bool = False
+    mark: ids.Fingerprint = ids.Fingerprint('')
 
 
 class Outcome(msgspec.Struct, frozen=True):
@@ -92,12 +97,18 @@
 
     :param is_failure: the replica failed; None when it was not at fault.
     :param is_unreachable: no connection to it could be made.
+    :param mark: what the request has in common with its returns.
+    :param suspicion: the replica ended meanwhile.
+    :param is_whole: the caller got a whole answer that is no failure.
     """
 
     service: ids.ServiceId
     replica: replicas.ReplicaId
     is_failure: bool | None = None
     is_unreachable: bool = False
+    mark: ids.Fingerprint = ids.Fingerprint('')
+    suspicion: poison.Suspicion | None = None
+    is_whole: bool = False
 
 
 Placed = result.Result[spread.Choice, errors.Problem]
@@ -112,6 +123,7 @@
         :param hosts: number of routers of the fleet.
         """
         self.replicas = replicas.Replicas(cfg.lapses)
+        self.poison = poison.Poison(cfg.blaming)
         self._cfg = cfg
         self._rng = rng
         self._loads = sightings.Loads()
@@ -137,12 +149,17 @@
 
     def place(self, wanted: Wanted, now: float) -> Placed:
         """Return the replica for an attempt, and count it there."""
+        treatment = self.poison.treatment(wanted.mark, now)
+        if treatment is quarantine.Treatment.REFUSED:
+            return result.Err(_condemned(wanted, self.poison.retry_s()))
         ready = self.replicas.ready(wanted.service)
         if not ready:
             return result.Err(_none_ready(wanted))
         ejections = self._ejection(wanted.service)
         ejections.update_upstreams(one.id for one in ready)
         candidates = self._candidates(wanted, ready, now)
+        if treatment is quarantine.Treatment.APART:
+            candidates = self._apart(candidates)
         if not candidates:
             return result.Err(_none_ready(wanted, self._pause_s(ready, now)))
         if wanted.is_repeat and not self._budgets.spend(wanted.service, now):
@@ -166,11 +183,17 @@
         if ejections.standing(chosen, now) is ejection.Standing.TRIAL:
             ejections.try_out(chosen, now)
         self._loads.started(chosen)
+        self.poison.started(wanted.mark, chosen)
         return result.Ok(choice)
 
     def ended(self, outcome: Outcome, now: float) -> None:
         """Take the end of an attempt."""
         self._loads.ended(outcome.replica)
+        self.poison.stopped(outcome.mark, outcome.replica)
+        if outcome.suspicion is not None:
+            self.poison.ended(outcome.suspicion, now)
+        if outcome.is_whole:
+            self.poison.ran(outcome.mark, now)
         if outcome.is_unreachable:
             self._unreachable[outcome.replica] = now + _UNREACHABLE_S
         if outcome.is_failure is None:
@@ -233,6 +256,7 @@
                 for service, part in self._ejections.items()
             },
             'retries_left': self._budgets.dump(now),
+            'poison': self.poison.dump(),
         }
 
     def _note(self, wanted: Wanted, choice: spread.Choice, now: float) -> None:
@@ -316,6 +340,16 @@
         ]
         return sound or reachable or untried
 
+    def _apart(
+        self, candidates: list[replicas.Replica]
+    ) -> list[replicas.Replica]:
+        """Return replicas without a suspect, if there are any.
+
+        So the next end of a replica has one suspect only.
+        """
+        taken = self.poison.avoid()
+        return [one for one in candidates if one.id not in taken] or candidates
+
     def _pause_s(self, ready: list[replicas.Replica], now: float) -> float:
         """Return when to come back if the replicas of a service pause."""
         shortest_s = pauses.shortest_s(self._pauses, ready, now)
@@ -347,3 +381,13 @@
         detail=f'service {wanted.service}',
         retry_after_s=pause_s or _NONE_READY_S,
     )
+
+
+def _condemned(wanted: Wanted, retry_s: float) -> errors.Problem:
+    """Return the refusal of a request that replicas end under."""
+    return errors.Problem(
+        'replicas ended while they ran this request',
+        503,
+        detail=f'fingerprint {wanted.mark} is condemned',
+        retry_after_s=retry_s,
+    )
--- a/papayaloom/process/dispatch_actor.py
+++ b/papayaloom/process/dispatch_actor.py
@@ -7,7 +7,7 @@
 import structlog
 
 from papayaloom import clock
-from papayaloom.process import census, dispatch, replicas
+from papayaloom.process import census, dispatch, poison, replicas
 from papayaloom.request import onward
 
 _log = structlog.get_logger('dispatch')
@@ -49,6 +49,8 @@
     def __init__(self, actor: pykka.ActorRef[DispatchActor]) -> None:
         """Keep the actor."""
         self._actor = actor
+        # Woken when there is something to tell the other hosts.
+        self.on_news: typing.Callable[[], object] = _nobody
 
     def place(self, wanted: dispatch.Wanted) -> dispatch.Placed:
         """Return the replica for an attempt."""
@@ -56,7 +58,7 @@
 
     def ended(self, outcome: dispatch.Outcome) -> None:
         """Tell the end of an attempt."""
-        self.tell(lambda decisions, now: decisions.ended(outcome, now))
+        self.tell(lambda decisions, now: self._end(decisions, outcome, now))
 
     def reported(self, replica: typing.Any, load: onward.Load) -> None:
         """Tell the load that a replica states."""
@@ -79,6 +81,15 @@
                 lambda decisions, now: decisions.paused(replica, pause_s, now)
             )
 
+    def heard_poison(self, report: poison.Report) -> None:
+        """Tell what another host says of poison requests."""
+
+        def step(decisions: dispatch.Dispatch, now: float) -> None:
+            decisions.poison.handle(report, now)
+            self._pass_news_on(decisions)
+
+        self.tell(step)
+
     def own_census(self) -> census.Census:
         """Return the requests of this router."""
         return self.ask(lambda decisions, now: decisions.own_census(now))
@@ -95,6 +106,19 @@
         """Run a step some time soon."""
         self._actor.tell(Run(step))
 
+    def _end(
+        self,
+        decisions: dispatch.Dispatch,
+        outcome: dispatch.Outcome,
+        now: float,
+    ) -> None:
+        decisions.ended(outcome, now)
+        self._pass_news_on(decisions)
+
+    def _pass_news_on(self, decisions: dispatch.Dispatch) -> None:
+        if decisions.poison.has_news():
+            self.on_news()
+
 
 def _leave(decisions: dispatch.Dispatch, replica: replicas.Replica) -> None:
     if decisions.replicas.leave(replica):
@@ -103,3 +127,7 @@
             replica=replica.id,
             born=replica.born,
         )
+
+
+def _nobody() -> None:
+    """Wake nobody: news wait until somebody asks for them."""
--- a/papayaloom/process/forward_attempt.py
+++ b/papayaloom/process/forward_attempt.py
@@ -43,6 +43,12 @@
         self._limits = limits
         # Monotonic time at which the present wait ends.
         self._until = time.monotonic()
+        self._progress_before = job.joiner.progress
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the answer has gone beyond its first event."""
+        return self._job.joiner.progress > self._progress_before + 1
 
     def run(self) -> Outcome:
         """Send the request and pass on the answer.
@@ -167,7 +173,9 @@
                 break
             self._take(response, part)
         if joiner.is_torn:
-            raise errors.UpstreamError('ended inside an event', _MAY_HAVE_RUN)
+            raise errors.UpstreamError(
+                'ended inside an event', _MAY_HAVE_RUN, crashed=True
+            )
         if not self._job.progress.has_begun:
             self._begin(response)
         return result.Ok(response.status_code)
--- a/papayaloom/process/forward_job.py
+++ b/papayaloom/process/forward_job.py
@@ -59,6 +59,7 @@
 
     :param replica_failed: whether the replica is to blame; None if not known.
     :param has_ended: the replica's process ended with the attempt.
+    :param has_begun: its answer had gone beyond the first event.
     """
 
     verdict: errors.Verdict
@@ -66,6 +67,7 @@
     replica_failed: bool | None = None
     is_unreachable: bool = False
     has_ended: bool = False
+    has_begun: bool = False
 
 
 def count(progress: forwarding.Progress, failure: Failure) -> None:
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -16,12 +16,14 @@
     dispatch_actor,
     forward_attempt,
     forward_job,
+    poison,
     replicas,
     spread,
 )
 from papayaloom.request import forwarding, onward
 
 _log = structlog.get_logger('forward')
+_SERVER_ERROR = 500
 _NOT_RUN = errors.Verdict.NOT_RUN
 _MAY_HAVE_RUN = errors.Verdict.MAY_HAVE_RUN
 
@@ -73,6 +75,7 @@
             forward_job.shared_prefix(job),
             frozenset(job.tried),
             job.progress.sends > 0,
+            job.mark,
         )
         return self._parts.desk.place(wanted)
 
@@ -81,18 +84,15 @@
     ) -> forward_attempt.Outcome:
         replica = choice.replica
         job.tried.add(replica.id)
-        failure: forward_job.Failure | None = None
         try:
             outcome = self._exchange(job, choice)
         except BaseException:
-            self._ended(
-                job, replica, forward_job.Failure(_MAY_HAVE_RUN, 'left')
-            )
+            left = forward_job.Failure(_MAY_HAVE_RUN, 'left')
+            self._ended(job, replica, result.Err(left))
             raise
         if isinstance(outcome, result.Err):
-            failure = outcome.err_value
-            forward_job.count(job.progress, failure)
-        self._ended(job, replica, failure)
+            forward_job.count(job.progress, outcome.err_value)
+        self._ended(job, replica, outcome)
         return outcome
 
     def _exchange(
@@ -105,18 +105,19 @@
             return result.Err(
                 forward_job.Failure(_NOT_RUN, str(exc), is_unreachable=True)
             )
+        attempt = forward_attempt.Attempt(
+            job,
+            choice,
+            conn,
+            self._parts.desk,
+            self._parts.dialect,
+            self._parts.limits,
+        )
         try:
-            outcome = forward_attempt.Attempt(
-                job,
-                choice,
-                conn,
-                self._parts.desk,
-                self._parts.dialect,
-                self._parts.limits,
-            ).run()
+            outcome = attempt.run()
         except errors.UpstreamError as exc:
             conn.close()
-            return result.Err(_broken(replica, exc))
+            return result.Err(_broken(replica, exc, attempt.has_begun))
         except channel.LateError:
             conn.close()
             return result.Err(
@@ -145,14 +146,18 @@
         self,
         job: forward_job.Job,
         replica: replicas.Replica,
-        failure: forward_job.Failure | None,
+        outcome: forward_attempt.Outcome,
     ) -> None:
+        failure = outcome.err()
         self._parts.desk.ended(
             dispatch.Outcome(
                 job.service,
                 replica.id,
                 failure.replica_failed if failure else False,
                 bool(failure and failure.is_unreachable),
+                job.mark,
+                _suspicion(job, replica, failure),
+                is_whole=outcome.unwrap_or(_SERVER_ERROR) < _SERVER_ERROR,
             )
         )
 
@@ -206,8 +211,22 @@
         )
 
 
+def _suspicion(
+    job: forward_job.Job,
+    replica: replicas.Replica,
+    failure: forward_job.Failure | None,
+) -> poison.Suspicion | None:
+    """Return what a replica that ended with an attempt says of the request."""
+    if failure is None or not failure.has_ended:
+        return None
+    start = poison.start_of(replica)
+    return poison.Suspicion(job.mark, start, failure.has_begun)
+
+
 def _broken(
-    replica: replicas.Replica, exc: errors.UpstreamError
+    replica: replicas.Replica,
+    exc: errors.UpstreamError,
+    has_begun: bool,
 ) -> forward_job.Failure:
     """Return the failure of an attempt whose connection broke."""
     has_run = exc.verdict is not _NOT_RUN
@@ -216,4 +235,5 @@
         str(exc),
         has_run or None,
         has_ended=exc.crashed and probe.has_ended(replica.address),
+        has_begun=has_begun,
     )
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -22,6 +22,7 @@
     forwarder,
     gateway_stop,
     own_entry,
+    poison_reports,
     presence,
     quarantine,
     relay_watch,
@@ -142,6 +143,18 @@
             ),
             self._rng,
         )
+        self._reporter = poison_reports.Reporter(
+            store,
+            poison_reports.Where(
+                outside.keys.poison,
+                cfg.host.name,
+                self._view.hosts,
+                lambda: self._feed.is_store_away,
+            ),
+            self.desk,
+            self._rng,
+        )
+        self.desk.on_news = self._reporter.wake
         self._timers = timers.Timers(self._clock)
         self._front = self._listen(cfg.addresses.callers, self._serve, _THREADS)
         self._side = side_endpoints.SideEndpoints(
@@ -149,6 +162,7 @@
                 view=self._view,
                 relay=self._relay,
                 tally=self._tally,
+                desk=self.desk,
                 outside=outside,
                 ttl_s=cfg.ttl_s,
                 is_stopping=lambda: self._stop_begun is not None,
@@ -192,6 +206,7 @@
         """Stop all threads, whatever still runs."""
         self._feed.stop()
         self._presence.stop()
+        self._reporter.stop()
         self._timers.stop()
         # Each waits half a second for its selector.
         stopping = [
--- a/papayaloom/process/side_endpoints.py
+++ b/papayaloom/process/side_endpoints.py
@@ -16,6 +16,9 @@
 from papayaloom.process import (
     address_choice,
     catch_up,
+    dispatch_actor,
+    poison,
+    poison_reports,
     relay_watch,
     store_view,
     tallies,
@@ -40,6 +43,7 @@
     view: store_view.StoreView
     relay: relay_watch.RelayWatch
     tally: tallies.Tallies
+    desk: dispatch_actor.Desk
     outside: store_view.Outside
     ttl_s: float
     is_stopping: typing.Callable[[], bool]
@@ -55,6 +59,7 @@
         self._endpoints: dict[str, typing.Callable[[ingress.Inbound], None]] = {
             catch_up.PATH: self._snapshot,
             relay_watch.PATH: self._exchange,
+            poison_reports.PATH: self._poison,
             '/metrics': self._metrics,
             '/dump': self._dump,
         }
@@ -114,6 +119,16 @@
             return
         inbound.answer(_OK if content else _UNAVAILABLE, [], content)
 
+    def _poison(self, inbound: ingress.Inbound) -> None:
+        try:
+            report = poison.decode(inbound.body)
+        except errors.CodecError as exc:
+            _log.warning('gateway: unreadable report', reason=str(exc))
+            inbound.answer(http.HTTPStatus.BAD_REQUEST, [], b'')
+            return
+        self._parts.desk.heard_poison(report)
+        inbound.answer(_OK, [], b'')
+
     def _metrics(self, inbound: ingress.Inbound) -> None:
         inbound.answer(_OK, [_TEXT], self._parts.tally.text())
 
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -19,6 +19,7 @@
     dispatch_actor,
     feed,
     fleet_hosts,
+    poison,
     replicas,
 )
 from papayaloom.request import onward
@@ -34,11 +35,13 @@
     :param routes: key of the route table.
     :param replicas: prefix of the replicas.
     :param hosts: prefix of this fleet's own hosts.
+    :param poison: prefix of this fleet's reports of poison requests.
     """
 
     routes: str
     replicas: str
     hosts: str
+    poison: str
 
 
 class Outside(msgspec.Struct, frozen=True):
@@ -142,6 +145,7 @@
             decisions.resize(hosts)
             gone = decisions.replicas.tick(now)
             decisions.forget(gone)
+            decisions.poison.tick(now)
             self._close(gone)
 
         self._desk.tell(step)
@@ -183,6 +187,7 @@
             keys.routes: self._routes_listed,
             keys.replicas: self._replicas_listed,
             keys.hosts: self._hosts_listed,
+            keys.poison: self._poison_listed,
         }
 
     def _listed(self, take: _Taker, entries: list[kv.Entry]) -> None:
@@ -202,6 +207,8 @@
             host = _host(content)
             if host is not None:
                 self.hosts.update(host)
+        elif key.startswith(keys.poison):
+            self._take_poison(key, content)
 
     def _removed(self, key: str) -> None:
         keys = self._outside.keys
@@ -305,6 +312,19 @@
         listed = [host for host in decoded if host]
         self.hosts.replace(listed, time.monotonic())
 
+    def _poison_listed(self, entries: list[kv.Entry]) -> None:
+        self._keep(self._outside.keys.poison, entries)
+        for entry in sorted(entries, key=lambda one: one.revision):
+            self._take_poison(entry.key, entry.value)
+
+    def _take_poison(self, key: str, content: bytes) -> None:
+        try:
+            report = poison.decode(content)
+        except errors.CodecError as exc:
+            _log.error('view: unreadable report', key=key, reason=str(exc))
+            return
+        self._desk.heard_poison(report)
+
     def _close(self, gone: typing.Iterable[str]) -> None:
         for replica in gone:
             self._drop(replica)
