A mass crash no longer shields a request that goes on crashing upstreams

Test first: limits.feature, 'Upstreams that crash at the same time do not shield a request that crashes further ones', failed on the old code (placed apart after its second crash, and after its third). Now one more crash than crash_limit is needed in a mass crash. The chance that two crashes are a coincidence is still weighed; the other scenarios of limits.feature and core.feature pass as they were.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -36,6 +36,13 @@
     Given a request that crashes each upstream after 2 seconds
     Then it is refused after 2 crashes and explains the second crash
 
+  Scenario: Upstreams that crash at the same time do not shield a request that crashes further ones
+    Given 5 upstreams of which 2 have crashed a moment ago
+    When a request crashes each of 2 further upstreams within 2 seconds
+    Then it is placed apart, near other crashes, and not refused
+    When a request crashes each of 1 further upstreams within 2 seconds
+    Then it is refused
+
   Scenario: A request near two crashes is not condemned where crashes are common
     Given a request that was near crashes after 20 and 25 seconds
     Then it is placed apart and not refused
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -144,6 +144,37 @@
     _crash(context, 'b', ran_s)
 
 
+@behave.given(
+    '{count:d} upstreams of which {crashed:d} have crashed a moment ago'
+)
+def unrest(context, count, crashed):
+    context.quarantine = quarantine.Quarantine(quarantine.Cfg())
+    context.quarantine.update_upstreams(count)
+    context.now = 1000
+    context.crashed = 0
+    for number in range(crashed):
+        context.quarantine.crashed(f'other-{number}', context.now)
+
+
+@behave.when(
+    'a request crashes each of {count:d} further upstreams within {seconds:d} seconds'
+)
+def crashes_further(context, count, seconds):
+    for _ in range(count):
+        context.crashed += 1
+        _crash(context, f'own-{context.crashed}', seconds / count)
+
+
+@behave.then('it is placed apart, near other crashes, and not refused')
+def only_apart(context):
+    assert _treatment(context) == quarantine.Treatment.APART
+
+
+@behave.then('it is refused')
+def is_refused(context):
+    assert _treatment(context) == quarantine.Treatment.REFUSED
+
+
 @behave.then('it is refused after 2 crashes and explains the second crash')
 def refused(context):
     assert _treatment(context) == quarantine.Treatment.REFUSED
--- a/papayaloom/process/quarantine.py
+++ b/papayaloom/process/quarantine.py
@@ -23,7 +23,7 @@
     :param condemned_s: seconds for which a condemnation is kept.
     :param mass_window_s: window in which crashes are compared.
     :param mass_share: share of the upstreams that crash in the window from
-        which on the crashes are put down to their surroundings.
+        which on one more crash is needed: their surroundings may be the cause.
     :param released: fingerprints that are never condemned.
     """
 
@@ -246,13 +246,18 @@
             if mark not in self._cfg.released:
                 suspicion = self._suspicions.setdefault(mark, Suspicion({}))
                 suspicion.crashes[upstream] = Crash(now, ran_s)
-        if not self._mass(now):
-            for suspect in ran:
-                self._judge(suspect, now)
+        # In a mass crash one more is needed; without a bound, a request could
+        # go on crashing upstreams and keep up the mass crash that shields it.
+        limit = self._cfg.crash_limit + self._mass(now)
+        for suspect in ran:
+            self._judge(suspect, limit, now)
         self._background.crashed()
 
-    def _judge(self, mark: ids.Fingerprint, now: float) -> None:
-        """Condemn when chance is the less likely explanation."""
+    def _judge(self, mark: ids.Fingerprint, limit: int, now: float) -> None:
+        """Condemn when chance is the less likely explanation.
+
+        :param limit: crashes on different upstreams that condemn.
+        """
         suspicion = self._suspicions.get(mark)
         if suspicion is None or suspicion.condemned is not None:
             return
@@ -264,7 +269,7 @@
         chance = math.prod(
             self._background.chance(crash.ran_s, now) for crash in recent
         )
-        if len(recent) >= self._cfg.crash_limit:
+        if len(recent) >= limit:
             if chance <= self._cfg.harmful_share:
                 suspicion.condemned = now
 
--- a/papayaloom/version/declarations/quarantine.py
+++ b/papayaloom/version/declarations/quarantine.py
@@ -50,7 +50,7 @@
         (0, 1.0),
         setting.Axis.FLEET,
         'Share of the upstreams that crash in the window from which '
-        'on no request is blamed.',
+        'on one more crash condemns.',
     ),
     setting.Setting(
         path='quarantine.released',
