--- a/features/mortal_fleet.py
+++ b/features/mortal_fleet.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import json
+import pathlib
 import random
 import socket
 import tempfile
@@ -173,6 +174,15 @@
         """Return when the poison request reached a replica."""
         return [at for at, path, _ in self.sent if POISON in path]
 
+    def store_calls(self):
+        """Return the paths of all calls to the store."""
+        return list(self._standin.calls)
+
+    def logs(self):
+        """Return what all gateways have logged."""
+        folder = pathlib.Path(self._folder.name)
+        return ''.join(path.read_text() for path in folder.glob('*.log'))
+
     def close(self):
         for gateway in self.gateways:
             gateway.close()
--- a/features/poison.feature
+++ b/features/poison.feature
@@ -29,6 +29,13 @@
     And another gateway process is added
     Then every gateway refuses "GET" "/calls/poison" and no replica gets it
 
+  Scenario: A fleet with relays stops a request under which replicas end
+    Given 14 gateway processes and 6 replicas that end under a poison request
+    When the poison request comes again and again as "GET" "/calls/poison" for 10 s
+    Then later than 3 s after its third end it has reached at most 3 replicas
+    And later than 3 s after its last end all of its callers are refused as "not run", at least 20 times
+    And some gateway has heard of it through a relay
+
   Scenario: A request that ends replicas in the middle of its stream is not sent on
     Given 3 gateway processes and 6 replicas that end at event 4 of a poison request
     When the poison request comes again and again as "POST" "/plain/poison" for 8 s
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -112,3 +112,15 @@
 @behave.then('the router suspects no request')
 def none_suspected(context):
     assert not context.router.dump()['dispatch']['poison']
+
+
+@behave.then('some gateway has heard of it through a relay')
+def heard_by_relay(context):
+    watching = context.fleet.store_calls().count('/kv-watch')
+    time.sleep(3)
+    calls = context.fleet.store_calls().count('/kv-watch') - watching
+    # Only the roots watch: less than one call a second for each gateway.
+    assert calls < 3 * 14, f'{calls} watches in 3 s: no relays at work'
+    logs = context.fleet.logs()
+    assert 'poison: not told' not in logs
+    assert logs.count('dispatch: word of poison requests') >= 10
