A router that starts hears of the requests that the fleet has condemned

A router that started later, or again, granted a condemned request until it had seen two crashes of its own. Test first: core.feature, 'A router that starts again refuses what the fleet has condemned', failed in both rows (the request was granted). Now each router tells those that have started what it knows; a quick restart shows by its incarnation. Both rows pass, and the other scenarios of core, limits and membership.

--- a/features/core.feature
+++ b/features/core.feature
@@ -37,6 +37,17 @@
     Then every router refuses that request and names quarantine.crash_limit
     But another chat of the organisation is granted
 
+  Scenario Outline: A router that starts again refuses what the fleet has condemned
+    When a request crashes the engines that run it twice
+    And the fleet runs for 2 seconds
+    And router-1 starts again <when>
+    Then every router refuses that request and names quarantine.crash_limit
+
+    Examples:
+      | when        |
+      | at once     |
+      | after 8 s   |
+
   Scenario: A call that crashed two replicas of a service is refused
     When a call crashes the two replicas of a service
     And the fleet runs for 2 seconds
--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -192,6 +192,20 @@
         assert problem.verdict == errors.Verdict.NOT_RUN.value
 
 
+@behave.when('router-1 starts again at once')
+def starts_at_once(context):
+    context.fleet.boot('router-1')
+    context.fleet.run(8)
+
+
+@behave.when('router-1 starts again after {seconds:d} s')
+def starts_later(context, seconds):
+    context.fleet.nodes.pop('router-1')
+    context.fleet.run(seconds)
+    context.fleet.boot('router-1')
+    context.fleet.run(8)
+
+
 @behave.when('a call crashes the two replicas of a service')
 def call_crashes(context):
     for number in range(2):
--- a/papayaloom/process/core.py
+++ b/papayaloom/process/core.py
@@ -377,13 +377,16 @@
             # Calls of all regions share one ledger.
             self._everywhere = everywhere
             self.claims.ledger.update_members(everywhere)
-        # A router that comes back finds no placement hints in its memory.
+        # A router that comes back finds neither in its memory.
         joined = set(self._routers) - before - {self.me}
-        if not joined:
-            return []
-        return chats.hints_for(
+        hints = chats.hints_for(
             self.chats.models.values(), joined, self.chats.home_of
         )
+        return hints + self.chats.suspects.update_members(
+            one
+            for one in members
+            if one.router in self._routers and one.router != self.me
+        )
 
     def _update_upstreams(self, now: float) -> admitting.Effects:
         names = self._leaving.names(now)
--- a/papayaloom/process/quarantine.py
+++ b/papayaloom/process/quarantine.py
@@ -214,6 +214,18 @@
             self._blame(crashed, ran, now)
         return []
 
+    def known(self) -> messages.Suspects:
+        """Return all suspicions, for a router that knows none."""
+        crashes = [
+            (mark, upstream, crash.ran_s)
+            for mark, suspicion in self._suspicions.items()
+            for upstream, crash in suspicion.crashes.items()
+        ]
+        return messages.Suspects(
+            tuple((mark, f'{upstream}#0') for mark, upstream, _ in crashes),
+            tuple(ran_s for _, _, ran_s in crashes),
+        )
+
     def explained(self, marks: typing.Iterable[ids.Fingerprint]) -> bool:
         """Tell whether a condemned request explains a crash."""
         return any(self._condemned(mark) for mark in marks)
--- a/papayaloom/process/suspects.py
+++ b/papayaloom/process/suspects.py
@@ -13,6 +13,7 @@
     def __init__(self, cfg: quarantine.Cfg) -> None:
         """Start without suspicions."""
         self.quarantine = quarantine.Quarantine(cfg)
+        self._incarnations: dict[ids.RouterId, int] = {}
 
     def refusal(
         self,
@@ -73,6 +74,25 @@
         self.quarantine.started(mark, upstream, now)
         return self.quarantine.crashed(upstream, now)
 
+    def update_members(
+        self, members: typing.Iterable[messages.Member]
+    ) -> list[messages.Send]:
+        """Take the other routers; tells those that have started what it knows.
+
+        A router that starts again within one membership has another
+        incarnation.
+        """
+        before = self._incarnations
+        self._incarnations = {one.router: one.incarnation for one in members}
+        known = self.quarantine.known()
+        if not known.crashes:
+            return []
+        return [
+            messages.Send(router, known, messages.Priority.ADMISSION)
+            for router, incarnation in self._incarnations.items()
+            if before.get(router) != incarnation
+        ]
+
     def dump(self, now: float) -> dict[str, dict[str, object]]:
         """Return the suspicions, condemned ones included."""
         return {
