Many suspects don't push a condemned request that comes again out of memory

Read, not seen: the bound of 4,096 suspects drops the oldest one, and a condemned request was never moved, so replicas that end in numbers would have set it free at one host after the other. Test first: poison.feature, 'A condemned request that comes again is remembered beside many suspects', failed before.

--- a/features/poison.feature
+++ b/features/poison.feature
@@ -73,6 +73,11 @@
     And of another request it hears that b ended early, c ended early
     Then the request is placed apart
 
+  Scenario: A condemned request that comes again is remembered beside many suspects
+    Given a host that knows no suspects
+    When of one request it hears that a ended early, b ended early
+    Then it is still condemned while it comes again after each 1000 of 9000 suspects
+
   Scenario: A suspect is not placed beside another suspect
     Given a host with 3 replicas, of which "i-1" runs a suspect
     Then 20 other suspects go to the other 2 replicas
--- a/papayaloom/process/poison.py
+++ b/papayaloom/process/poison.py
@@ -18,6 +18,7 @@
 from papayaloom import errors, ids
 from papayaloom.process import quarantine, replicas
 
+# Suspects, and requests that ran well, that a host keeps in mind.
 _MOST_MARKS = 4096
 
 ReplicaStart = typing.NewType('ReplicaStart', str)
@@ -132,6 +133,8 @@
         if suspect.condemned_at is None:
             return quarantine.Treatment.APART
         suspect.condemned_at = now
+        # Many suspects must not push it out.
+        self._suspects.move_to_end(mark)
         if now - suspect.told_at > self._cfg.memory_s / 2:
             # Else a host that starts would not hear of it any more.
             self._tell_condemned(mark, suspect, now)
