--- a/features/steps/poison_decision_steps.py
+++ b/features/steps/poison_decision_steps.py
@@ -58,6 +58,21 @@
     assert found is _HOW[how], found
 
 
+@behave.then(
+    'it is still condemned while it comes again after each {step:d} of {count:d} suspects'
+)
+def remembered(context, step, count):
+    for number in range(count):
+        suspicion = poison.Suspicion(
+            ids.Fingerprint(f'other-{number}'),
+            poison.ReplicaStart(f'start-{number // 100}'),
+        )
+        context.poison.ended(suspicion, context.now)
+        if number % step == 0:
+            placed(context, 'nowhere')
+    placed(context, 'nowhere')
+
+
 @behave.given(
     'a host with {count:d} replicas, of which "{name}" runs a suspect'
 )
