--- a/papayaloom/process/lapses.py
+++ b/papayaloom/process/lapses.py
@@ -19,7 +19,7 @@
     """
 
     def __init__(
-        self, grace_s: float, first_grace_s: float = float('inf')
+        self, grace_s: float, first_grace_s: float | None = None
     ) -> None:
         """Start with the store away."""
         self._grace_s = grace_s
@@ -45,7 +45,7 @@
     def is_doubtful(self, name: _Name, now: float) -> bool:
         """Tell whether a removal may be a lapse, and keep it in mind."""
         grace_s = self._grace_s
-        if not self._has_failed:
+        if self._first_grace_s is not None and not self._has_failed:
             grace_s = min(grace_s, self._first_grace_s)
         back_at = now if self._back_at is None else self._back_at
         end = back_at + grace_s
