Shed load that cannot begin in time, and share full services by organisation

The router knew slots, loads, objective and organisation and used none. Change: process/load_shedding.py closes a replica once a request would wait there longer than a quarter of the mean objective, rejects at once when all are closed, limits an organisation to a multiple of the free places (dynamic thresholds), and tells rejected callers to return later the more are rejected. The load of services that report none is extrapolated from the router's own arrivals and service times. fleet_traffic.py is moved out of dispatch.py unchanged. slots 0 means unknown. placement_model.py grows slots, queues and returning callers. Test: features/overload.feature, each scenario but the last fails with the rooms of replicas taken as infinite.

--- /dev/null
+++ b/features/overload.feature
@@ -0,0 +1,55 @@
+Feature: Work at its worst: what is admitted, and when rejected callers return
+
+  Scenario Outline: A burst beyond all slots is served up to them, and forgotten at once
+    Given 5 replicas with <slots> slots and 8 routers that share no word, replicas <tell> their load
+    When <per_s> requests a second of <work> s arrive for 30 s, from 4 s to 12 s <x> times as many
+    Then the slots are busy for nine tenths of the burst
+    And in each 2 s of the burst at least half of what the slots can run begins within <objective> s
+    And of what replicas began, at least 95 in 100 were in time or had been told to come back
+    And replicas turn away at most 5 in 100 arrivals
+
+    Examples: engines under twice what they can run, and a plain service
+      | slots | tell   | per_s | work | x  | objective |
+      | 64    | report | 37    | 2    | 8  | 0.6       |
+      | 6     | hide   | 40    | 0.09 | 16 | 0.3       |
+
+  Scenario: Four times what the slots can run does not make the queues longer
+    Given 5 replicas with 64 slots and 8 routers that share no word, replicas report their load
+    When 37 requests a second of 2 s arrive for 30 s, from 4 s to 12 s 16 times as many
+    Then the slots are busy for nine tenths of the burst
+    And of what replicas began, at least 95 in 100 were in time or had been told to come back
+    And replicas turn away at most 5 in 100 arrivals
+
+  Scenario: A burst is forgotten soon after its end, although callers return
+    Given 5 replicas with 64 slots and 8 routers that share no word, replicas report their load
+    When 37 requests a second of 2 s arrive for 30 s, from 4 s to 12 s 8 times as many
+    Then from 2 s after its end at least 90 in 100 begin within 0.6 s
+
+  Scenario: One organisation that sends sixty times its usual leaves room for the others
+    Given 5 replicas with 64 slots and 8 routers that share no word, replicas report their load
+    When 37 requests a second of 2 s arrive for 24 s, from 4 s to 14 s sixty times as many of one in ten organisations
+    Then of the requests of the others, at least 95 in 100 begin within 0.6 s
+    And the one organisation keeps at least half of the slots busy
+
+  Scenario: Routers that all restart under load do not fill the queues of the replicas
+    Given 5 replicas with 64 slots and 8 routers that share no word, replicas report their load
+    When 37 requests a second of 2 s arrive for 24 s, from 4 s to 16 s 8 times as many, and all routers forget all at 8 s
+    Then replicas turn away at most 5 in 100 arrivals
+
+  Scenario: Rejected callers return later, the more are rejected
+    Given 5 replicas with 64 slots and 8 routers that share no word, replicas report their load
+    When a router rejects 1 in 20 requests that have 12 s left
+    Then each is told to return within 0.15 s to 0.5 s
+    When a router rejects 4 in 5 requests that have 12 s left
+    Then each is told to return within 3 s to 4 s
+
+  Scenario: A response that has begun goes on at a full service
+    Given 5 replicas with 64 slots and 8 routers that share no word, replicas report their load
+    When all replicas run 100 requests
+    Then a first attempt is rejected as not run, with a time to come back
+    And the rest of a response that has begun is placed
+
+  Scenario: A replica that does not say how many slots it has is never full
+    Given 5 replicas with 0 slots and 8 routers that share no word, replicas report their load
+    When all replicas run 100 requests
+    Then a first attempt is placed
--- a/features/placement_model.py
+++ b/features/placement_model.py
@@ -1,5 +1,11 @@
-"""Model in virtual time of many routers that place requests by old sums."""
+"""Model in virtual time of routers, replicas with slots, and callers.
 
+Each router decides by what replicas report with their responses, or by old sums
+over the fleet. Replicas queue what exceeds their slots, and callers that are
+rejected come back once.
+"""
+
+import collections
 import heapq
 import itertools
 import random
@@ -12,6 +18,22 @@
 BOUND = replica_choice.Cfg()
 _SNAPSHOT_S = 0.1
 _FIRST_EVENT_S = 0.06
+# Callers wait for this share of their remaining time before they come back.
+_PATIENCE = 1 / 3
+_REFUSED_RETRY_S = 0.5
+
+
+class Burst(msgspec.Struct, frozen=True):
+    """More traffic for some time.
+
+    :param x: multiple of the usual traffic.
+    :param organisation: the organisation that sends it; empty for all.
+    """
+
+    at: float
+    until: float
+    x: float
+    organisation: str = ''
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -22,16 +44,47 @@
     :param prefixes: names of shared prompt prefixes with their weights; none
         for plain calls.
     :param slowness: how many times longer some replicas need.
+    :param organisations: organisations with their weights.
+    :param slots: requests that a replica runs at once; 0 for any number.
+    :param queue: requests that may wait at a replica, as a multiple of its
+        slots; it refuses more.
+    :param reports: whether replicas report their load.
     """
 
     per_s: float
     work_s: float
     prefixes: dict[str, float] = {}
     slowness: dict[str, float] = {}
+    organisations: dict[str, float] = msgspec.field(
+        default_factory=lambda: {'': 1}
+    )
+    burst: Burst | None = None
+    slots: int = 0
+    queue: int = 3
+    reports: bool = True
+    objective_s: float = 1
+    deadline_s: float = 10
+
+
+class Call(msgspec.Struct, eq=False):
+    """One request of a caller.
+
+    :param started_at: when a replica began to run it.
+    :param returns: how often its caller may still come back.
+    """
+
+    arrived_at: float
+    organisation: str
+    work_s: float
+    prefix: str = ''
+    returns: int = 1
+    rejections: int = 0
+    started_at: float | None = None
+    is_late: bool = False
 
 
 class Model:
-    """Routers, replicas that run any number at once, and sums that are old.
+    """Routers, replicas, and sums that are old.
 
     :param share_s: time between two sums at each router; 0 when routers hear
         of loads with the answers of the replicas only.
@@ -45,28 +98,48 @@
         self._share_s = share_s
         self._lag_s = lag_s
         self._rng = random.Random(seed)
-        self._count = dict.fromkeys(names, 0)
+        self._running = dict.fromkeys(names, 0)
+        self._waiting = {name: collections.deque() for name in names}
         self._history = []
         self._order = itertools.count()
         self._events = []
+        self.calls = []
         self.placed = 0
         self.over = 0
         self.most = 0
+        self.turned_away = 0
 
     def run(self, seconds):
         """Play the load; counts what reached a replica above the bound."""
-        self._plan(0, self._snapshot)
-        self._plan(0, self._arrive)
+        self.plan(0, self._snapshot)
+        for organisation in self._load.organisations:
+            self.plan(0, self._arrive, organisation)
         for number in range(len(self._routers) if self._share_s else 0):
             at = self._rng.uniform(0, self._share_s)
-            self._plan(at, self._share, number)
+            self.plan(at, self._share, number)
         while self._events:
             now, _, step, wanted = heapq.heappop(self._events)
             if now > seconds:
                 return
             step(now, *wanted)
 
-    def _plan(self, at, step, *wanted):
+    def in_time(self, since, until, organisation=None):
+        """Return the share of the calls of a time that began in time."""
+        calls = self.of(since, until, organisation)
+        good = [one for one in calls if one.started_at and not one.is_late]
+        return len(good) / len(calls)
+
+    def of(self, since, until, organisation=None):
+        """Return the calls that arrived within a time."""
+        return [
+            one
+            for one in self.calls
+            if since <= one.arrived_at < until
+            and organisation in {None, one.organisation}
+        ]
+
+    def plan(self, at, step, *wanted):
+        """Plan a step; it gets the time and the arguments."""
         heapq.heappush(self._events, (at, next(self._order), step, wanted))
 
     def _snapshot(self, now):
@@ -74,7 +147,7 @@
             one.own_request_counts(now) for one in self._routers
         )
         self._history.append((now, totals))
-        self._plan(now + _SNAPSHOT_S, self._snapshot)
+        self.plan(now + _SNAPSHOT_S, self._snapshot)
 
     def _share(self, now, number):
         old = [
@@ -83,43 +156,114 @@
         if old:
             self._routers[number].update_fleet_counts(old[-1], now)
             del self._history[: max(0, len(old) - 40)]
-        self._plan(now + self._share_s, self._share, number)
+        self.plan(now + self._share_s, self._share, number)
 
-    def _arrive(self, now):
-        self._plan(now + self._rng.expovariate(self._load.per_s), self._arrive)
-        number = self._rng.randrange(len(self._routers))
-        prefix = ''
-        if self._load.prefixes:
-            prefix = self._rng.choices(
-                list(self._load.prefixes), list(self._load.prefixes.values())
+    def _arrive(self, now, organisation):
+        load = self._load
+        weights = load.organisations
+        per_s = load.per_s * weights[organisation] / sum(weights.values())
+        burst = load.burst
+        if burst and burst.at <= now < burst.until:
+            if burst.organisation in {'', organisation}:
+                per_s *= burst.x
+        pause_s = self._rng.expovariate(per_s)
+        if burst and now < burst.at < now + pause_s:
+            # A pause drawn before the burst does not reach into it.
+            pause_s = burst.at - now
+        self.plan(now + pause_s, self._arrive, organisation)
+        work_s = self._rng.expovariate(1 / load.work_s)
+        call = Call(now, organisation, work_s)
+        if load.prefixes:
+            call.prefix = self._rng.choices(
+                list(load.prefixes), list(load.prefixes.values())
             )[0]
-        choice = (
-            self._routers[number]
-            .place(dispatch.PlacementRequest(self._service, prefix), now)
-            .ok_value
+        self.calls.append(call)
+        self._send(now, call)
+
+    def _send(self, now, call):
+        number = self._rng.randrange(len(self._routers))
+        left_s = call.arrived_at + self._load.deadline_s - now
+        request = dispatch.PlacementRequest(
+            self._service,
+            call.prefix,
+            organisation=call.organisation,
+            objective_s=self._load.objective_s,
+            left_s=left_s,
         )
-        self._measure(choice.replica.id)
-        self._count[choice.replica.id] += 1
-        slowness = self._load.slowness.get(choice.replica.id, 1)
-        work_s = slowness * self._rng.expovariate(1 / self._load.work_s)
-        self._plan(now + work_s, self._end, number, choice.replica.id)
-        if not self._share_s:
+        placed = self._routers[number].place(request, now)
+        if placed.is_err():
+            self._come_back(now, call, left_s, placed.err_value.retry_after_s)
+            return
+        name = placed.ok_value.replica.id
+        self._measure(name)
+        if not self._load.slots or self._running[name] < self._load.slots:
+            self._start(now, name, number, call, now)
+        elif len(self._waiting[name]) < self._load.queue * self._load.slots:
+            self._waiting[name].append((number, call, now))
+        else:
+            self.turned_away += 1
+            self._leave(now, number, name, call)
+            self._come_back(now, call, left_s, _REFUSED_RETRY_S)
+
+    def _come_back(self, now, call, left_s, retry_after_s):
+        call.rejections += 1
+        if call.returns:
+            call.returns -= 1
+            delay_s = min(retry_after_s, _PATIENCE * left_s)
+            self.plan(now + delay_s, self._send, call)
+
+    def _start(self, now, name, number, call, sent_at):
+        self._running[name] += 1
+        call.started_at = now
+        call.is_late = now - call.arrived_at > self._load.objective_s
+        work_s = self._load.slowness.get(name, 1) * call.work_s
+        self.plan(now + work_s, self._end, number, name, call, sent_at)
+        if not self._share_s and self._load.reports:
             at = now + min(work_s, _FIRST_EVENT_S)
-            self._plan(at, self._report, number, choice.replica.id)
+            self.plan(at, self._report, number, name)
 
-    def _report(self, now, number, chosen):
-        load = header_dialect.Load(self._count[chosen], 0, 16)
-        self._routers[number].record_load(chosen, load, now)
+    def _report(self, now, number, name):
+        load = header_dialect.Load(
+            self._running[name], len(self._waiting[name]), self._load.slots
+        )
+        self._routers[number].record_load(name, load, now)
 
     def _measure(self, chosen):
-        mean = sum(self._count.values()) / len(self._count)
+        counts = {
+            name: self._running[name] + len(self._waiting[name])
+            for name in self._running
+        }
+        mean = sum(counts.values()) / len(counts)
         self.placed += 1
-        self.most = max(self.most, self._count[chosen] + 1)
-        if self._count[chosen] > BOUND.factor * mean + BOUND.slack:
+        self.most = max(self.most, counts[chosen] + 1)
+        if counts[chosen] > BOUND.factor * mean + BOUND.slack:
             self.over += 1
 
-    def _end(self, now, number, chosen):
-        self._count[chosen] -= 1
+    def _end(self, now, number, name, call, sent_at):
+        self._running[name] -= 1
+        self._routers[number].ended(
+            dispatch.AttemptResult(
+                self._service,
+                name,
+                False,
+                organisation=call.organisation,
+                duration_s=now - sent_at,
+            ),
+            now,
+        )
+        waiting = self._waiting[name]
+        while waiting:
+            other, queued, queued_at = waiting.popleft()
+            if now - queued.arrived_at < self._load.deadline_s:
+                self._start(now, name, other, queued, queued_at)
+                return
+            # Its caller has given up meanwhile.
+            self._leave(now, other, name, queued)
+
+    def _leave(self, now, number, name, call):
         self._routers[number].ended(
-            dispatch.AttemptResult(self._service, chosen, False), now
+            dispatch.AttemptResult(
+                self._service, name, organisation=call.organisation
+            ),
+            now,
         )
--- a/papayaloom/platform/documents.py
+++ b/papayaloom/platform/documents.py
@@ -83,7 +83,7 @@
     address: str
     state: str
     zone: str = ''
-    slots: int = 1
+    slots: int = 0
     born: int = 0
 
 
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -11,10 +11,12 @@
 
 from papayaloom import errors, ids
 from papayaloom.process import (
-    arrival_rates,
     budgets,
     ejection,
+    fleet_traffic,
     load_estimates,
+    load_shedding,
+    moving_averages,
     pauses,
     poison,
     quarantine,
@@ -33,9 +35,6 @@
 _NO_BUDGET_RETRY_S = 1.0
 # Jitter as a share of the pause, so that callers do not all return at once.
 _PAUSE_JITTER = 0.25
-_MIN_SERVICE_TIME_S = 0.02
-_DEFAULT_SERVICE_TIME_S = 1.0
-_FLEET_COUNTS_EXPIRY_S = 3.0
 
 
 class RetryBound(msgspec.Struct, frozen=True):
@@ -77,6 +76,7 @@
     )
     repeats: RetryBound = RetryBound()
     blaming: poison.Cfg = poison.Cfg()
+    shedding: load_shedding.Cfg = load_shedding.Cfg()
 
 
 class PlacementRequest(msgspec.Struct, frozen=True):
@@ -86,6 +86,9 @@
     :param fingerprint: equal for repetitions of the request.
     :param tried: replicas of earlier attempts.
     :param is_retry: whether a replica has already received the request.
+    :param has_begun: part of the response has been sent to the caller.
+    :param objective_s: target time to the response or the first event.
+    :param left_s: time left until the deadline.
     """
 
     service: ids.ServiceId
@@ -93,6 +96,10 @@
     tried: frozenset[str] = frozenset()
     is_retry: bool = False
     fingerprint: ids.Fingerprint = ids.Fingerprint('')
+    organisation: str = ''
+    has_begun: bool = False
+    objective_s: float = 1
+    left_s: float = 10
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
@@ -104,6 +111,8 @@
     :param fingerprint: equal for repetitions of the request.
     :param suspicion: set if the replica's process ended during the attempt.
     :param is_success: the caller got a complete response that is no error.
+    :param duration_s: time for which the replica had the request; None if it
+        did not run it.
     """
 
     service: ids.ServiceId
@@ -113,6 +122,8 @@
     fingerprint: ids.Fingerprint = ids.Fingerprint('')
     suspicion: poison.Suspicion | None = None
     is_success: bool = False
+    organisation: str = ''
+    duration_s: float | None = None
 
 
 PlacementResult = result.Result[replica_choice.Choice, errors.Problem]
@@ -131,15 +142,11 @@
         self._cfg = cfg
         self._rng = rng
         self._load_estimates = load_estimates.LoadEstimates()
-        self._hosts = hosts
-        self._fleet_counts = request_counts.RequestCounts()
-        self._fleet_counts_at = float('-inf')
-        self._arrivals_by_service: arrival_rates.ArrivalRates[ids.ServiceId] = (
-            arrival_rates.ArrivalRates()
+        self._traffic = fleet_traffic.FleetTraffic(hosts)
+        self._service_times_s: moving_averages.MovingAverages[ids.ServiceId] = (
+            moving_averages.MovingAverages()
         )
-        self._arrivals_by_preferred: arrival_rates.ArrivalRates[
-            replicas.ReplicaId
-        ] = arrival_rates.ArrivalRates()
+        self._shedder = load_shedding.LoadShedder(cfg.shedding, rng)
         self._budgets = budgets.RetryBudgets(cfg.repeats.share(hosts))
         self._ejections: dict[ids.ServiceId, ejection.Ejection] = {}
         self._unreachable_until: dict[str, float] = {}
@@ -147,8 +154,8 @@
 
     def set_fleet_size(self, hosts: int) -> None:
         """Set the number of routers in the fleet."""
-        if hosts != self._hosts:
-            self._hosts = hosts
+        if hosts != self._traffic.hosts:
+            self._traffic.hosts = hosts
             self._budgets.configure(self._cfg.repeats.share(hosts))
 
     def place(self, request: PlacementRequest, now: float) -> PlacementResult:
@@ -168,6 +175,20 @@
             return result.Err(
                 _unavailable(request, self._pause_retry_s(ready, now))
             )
+        estimates = self._estimates(request.service, ready, now)
+        traffic = self._traffic.expected(request.service, estimates, now)
+        admitted = self._shedder.admit(
+            _demand(request),
+            load_shedding.Load(
+                candidates,
+                estimates,
+                traffic.service_time_s,
+                self._traffic.hosts,
+            ),
+            now,
+        )
+        if isinstance(admitted, errors.Problem):
+            return result.Err(admitted)
         if request.is_retry and not self._budgets.spend(request.service, now):
             return result.Err(
                 errors.Problem(
@@ -176,19 +197,16 @@
                     retry_after_s=_NO_BUDGET_RETRY_S,
                 )
             )
-        eligible = self._eligible(request, candidates, now)
-        estimates = self._load_estimates.estimates(
-            [one.id for one in ready], now
-        )
         choice = replica_choice.choose(
-            eligible,
+            self._eligible(request, admitted, now),
             estimates,
-            self._traffic(request.service, estimates, now),
+            traffic,
             request.prefix,
             self._cfg.spreading,
             self._rng,
         )
-        self._record_arrival(request, choice, now)
+        self._traffic.record_arrival(request.service, choice.preferred, now)
+        self._shedder.record_start(request.service, request.organisation)
         chosen = choice.replica.id
         if ejections.status(chosen, now) is ejection.Status.TRIAL:
             ejections.start_trial(chosen, now)
@@ -199,6 +217,13 @@
     def ended(self, attempt_result: AttemptResult, now: float) -> None:
         """Record the result of an attempt."""
         self._load_estimates.record_end(attempt_result.replica)
+        self._shedder.record_end(
+            attempt_result.service, attempt_result.organisation
+        )
+        if attempt_result.duration_s is not None:
+            self._service_times_s.add(
+                attempt_result.service, attempt_result.duration_s
+            )
         self.poison.record_attempt_end(
             attempt_result.fingerprint, attempt_result.replica
         )
@@ -229,14 +254,8 @@
 
     def own_request_counts(self, now: float) -> request_counts.RequestCounts:
         """Return the running and arrived requests of this router."""
-        return request_counts.RequestCounts(
-            self._load_estimates.own_requests(),
-            self._arrivals_by_preferred.counts(
-                request_counts.ARRIVAL_WINDOW_S, now
-            ),
-            self._arrivals_by_service.counts(
-                request_counts.ARRIVAL_WINDOW_S, now
-            ),
+        return self._traffic.own_counts(
+            self._load_estimates.own_requests(), now
         )
 
     def paused(
@@ -253,14 +272,13 @@
         self._load_estimates.record_fleet_totals(
             names, totals.running, now - request_counts.TRANSIT_S
         )
-        self._fleet_counts = totals
-        self._fleet_counts_at = now
+        self._traffic.record_totals(totals, now)
 
     def forget(self, removed: typing.Iterable[replicas.ReplicaId]) -> None:
         """Drop the state of replicas that were removed or restarted."""
         for replica in removed:
             self._load_estimates.forget(replica)
-            self._arrivals_by_preferred.forget(replica)
+            self._traffic.forget(replica)
             self._unreachable_until.pop(replica, None)
 
     def dump(self, now: float) -> dict[str, object]:
@@ -282,73 +300,28 @@
                 for service, part in self._ejections.items()
             },
             'retries_left': self._budgets.dump(now),
+            'running': self._shedder.dump(),
             'poison': self.poison.dump(),
         }
 
-    def _record_arrival(
-        self,
-        request: PlacementRequest,
-        choice: replica_choice.Choice,
-        now: float,
-    ) -> None:
-        self._arrivals_by_service.record(request.service, now)
-        if choice.preferred is not None:
-            self._arrivals_by_preferred.record(choice.preferred.id, now)
-
-    def _traffic(
+    def _estimates(
         self,
         service: ids.ServiceId,
-        estimates: dict[str, load_estimates.LoadEstimate],
+        ready: list[replicas.Replica],
         now: float,
-    ) -> replica_choice.Traffic:
-        """Return the expected traffic of the other routers."""
-        arrivals = self._service_arrivals(service, now)
-        running = sum(one.total for one in estimates.values())
-        others_rate_factor = (
-            (self._hosts - 1) / self._hosts / request_counts.ARRIVAL_WINDOW_S
-        )
-        return replica_choice.Traffic(
-            arrivals_per_s=arrivals * others_rate_factor,
-            preferred_per_s=lambda name: (
-                self._preferred_arrivals(name, now) * others_rate_factor
-            ),
-            service_time_s=_service_time_s(
-                running, arrivals / request_counts.ARRIVAL_WINDOW_S
-            ),
-            is_fleet_wide=self._has_fleet_counts(now),
-        )
-
-    def _has_fleet_counts(self, now: float) -> bool:
-        return now - self._fleet_counts_at < _FLEET_COUNTS_EXPIRY_S
-
-    def _service_arrivals(self, service: ids.ServiceId, now: float) -> int:
-        """Return the arrivals at all routers in :data:`request_counts.ARRIVAL_WINDOW_S`.
+    ) -> dict[str, load_estimates.LoadEstimate]:
+        """Return the load estimates of the replicas of a service.
 
-        Extrapolated from this router's own arrivals if the counts of the fleet
-        are unknown or outdated.
+        If no replica reports its load, the requests of the other routers follow
+        from their expected arrivals by Little's law.
         """
-        if self._has_fleet_counts(now):
-            return self._fleet_counts.arrived.get(service, 0)
-        return self._arrivals_by_service.count(
-            service, self._fleet_span_s(), now
+        others = self._traffic.others_per_s(
+            service, now
+        ) * self._service_times_s.get(service, 0)
+        return self._load_estimates.estimates(
+            [one.id for one in ready], now, others / len(ready)
         )
 
-    def _preferred_arrivals(self, replica: str, now: float) -> int:
-        """Return the fleet's arrivals for which a replica ranks first."""
-        if self._has_fleet_counts(now):
-            return self._fleet_counts.first.get(replica, 0)
-        name = replicas.ReplicaId(replica)
-        return self._arrivals_by_preferred.count(
-            name, self._fleet_span_s(), now
-        )
-
-    def _fleet_span_s(self) -> float:
-        """Return the time in which one router gets as many arrivals.
-
-        That is, as many as the fleet gets in the arrival window.
-        """
-        return request_counts.ARRIVAL_WINDOW_S * self._hosts
-
     def _eligible(
         self,
         request: PlacementRequest,
@@ -423,11 +396,14 @@
         return self._ejections[service]
 
 
-def _service_time_s(running: float, arrivals_per_s: float) -> float:
-    """Return the mean time of a request at a replica, by Little's law."""
-    if not arrivals_per_s:
-        return _DEFAULT_SERVICE_TIME_S
-    return max(running / arrivals_per_s, _MIN_SERVICE_TIME_S)
+def _demand(request: PlacementRequest) -> load_shedding.Demand:
+    return load_shedding.Demand(
+        request.service,
+        request.organisation,
+        request.objective_s,
+        request.left_s,
+        request.has_begun,
+    )
 
 
 def _unavailable(
--- /dev/null
+++ b/papayaloom/process/fleet_traffic.py
@@ -0,0 +1,138 @@
+"""Traffic of the whole fleet, as one router knows or extrapolates it.
+
+Answers the load pattern of many routers that place requests concurrently: each
+expects what the others send in the meantime. Routers of a large fleet exchange
+their counts. Without counts, or when they are outdated, a router multiplies its
+own traffic by the number of routers; this is also what a router does that has
+just started.
+"""
+
+from papayaloom import ids
+from papayaloom.process import (
+    arrival_rates,
+    load_estimates,
+    replica_choice,
+    replicas,
+    request_counts,
+)
+
+_MIN_SERVICE_TIME_S = 0.02
+_DEFAULT_SERVICE_TIME_S = 1.0
+_FLEET_COUNTS_EXPIRY_S = 3.0
+
+
+class FleetTraffic:
+    """Arrivals at this router, and the counts of all routers.
+
+    :param hosts: number of routers in the fleet.
+    """
+
+    def __init__(self, hosts: int) -> None:
+        """Initialise without arrivals."""
+        self.hosts = hosts
+        self._totals = request_counts.RequestCounts()
+        self._totals_at = float('-inf')
+        self._by_service: arrival_rates.ArrivalRates[ids.ServiceId] = (
+            arrival_rates.ArrivalRates()
+        )
+        self._by_preferred: arrival_rates.ArrivalRates[replicas.ReplicaId] = (
+            arrival_rates.ArrivalRates()
+        )
+
+    def record_arrival(
+        self,
+        service: ids.ServiceId,
+        preferred: replicas.Replica | None,
+        now: float,
+    ) -> None:
+        """Count a request that this router placed.
+
+        :param preferred: the replica that ranks first for its prompt prefix.
+        """
+        self._by_service.record(service, now)
+        if preferred is not None:
+            self._by_preferred.record(preferred.id, now)
+
+    def record_totals(
+        self, totals: request_counts.RequestCounts, now: float
+    ) -> None:
+        """Record the request counts of the whole fleet."""
+        self._totals = totals
+        self._totals_at = now
+
+    def forget(self, replica: replicas.ReplicaId) -> None:
+        """Drop the arrivals of a replica that was removed or restarted."""
+        self._by_preferred.forget(replica)
+
+    def own_counts(
+        self, running: dict[str, int], now: float
+    ) -> request_counts.RequestCounts:
+        """Return the counts of this router, for the other routers.
+
+        :param running: running requests of this router, by replica.
+        """
+        span_s = request_counts.ARRIVAL_WINDOW_S
+        return request_counts.RequestCounts(
+            running,
+            self._by_preferred.counts(span_s, now),
+            self._by_service.counts(span_s, now),
+        )
+
+    def expected(
+        self,
+        service: ids.ServiceId,
+        estimates: dict[str, load_estimates.LoadEstimate],
+        now: float,
+    ) -> replica_choice.Traffic:
+        """Return the expected traffic of the other routers."""
+        arrivals = self._service_arrivals(service, now)
+        running = sum(one.total for one in estimates.values())
+        return replica_choice.Traffic(
+            arrivals_per_s=self.others_per_s(service, now),
+            preferred_per_s=lambda name: (
+                self._preferred_arrivals(name, now) * self._others_factor()
+            ),
+            service_time_s=_service_time_s(
+                running, arrivals / request_counts.ARRIVAL_WINDOW_S
+            ),
+            is_fleet_wide=self._has_totals(now),
+        )
+
+    def others_per_s(self, service: ids.ServiceId, now: float) -> float:
+        """Return the expected arrivals per second at the other routers."""
+        return self._service_arrivals(service, now) * self._others_factor()
+
+    def _others_factor(self) -> float:
+        """Return what turns arrivals at all routers into the others' rate."""
+        others_share = (self.hosts - 1) / self.hosts
+        return others_share / request_counts.ARRIVAL_WINDOW_S
+
+    def _has_totals(self, now: float) -> bool:
+        return now - self._totals_at < _FLEET_COUNTS_EXPIRY_S
+
+    def _service_arrivals(self, service: ids.ServiceId, now: float) -> int:
+        """Return the fleet's arrivals in :data:`request_counts.ARRIVAL_WINDOW_S`."""
+        if self._has_totals(now):
+            return self._totals.arrived.get(service, 0)
+        return self._by_service.count(service, self._fleet_span_s(), now)
+
+    def _preferred_arrivals(self, replica: str, now: float) -> int:
+        """Return the fleet's arrivals for which a replica ranks first."""
+        if self._has_totals(now):
+            return self._totals.first.get(replica, 0)
+        name = replicas.ReplicaId(replica)
+        return self._by_preferred.count(name, self._fleet_span_s(), now)
+
+    def _fleet_span_s(self) -> float:
+        """Return the time in which one router gets as many arrivals.
+
+        That is, as many as the fleet gets in the arrival window.
+        """
+        return request_counts.ARRIVAL_WINDOW_S * self.hosts
+
+
+def _service_time_s(running: float, arrivals_per_s: float) -> float:
+    """Return the mean time of a request at a replica, by Little's law."""
+    if not arrivals_per_s:
+        return _DEFAULT_SERVICE_TIME_S
+    return max(running / arrivals_per_s, _MIN_SERVICE_TIME_S)
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -4,6 +4,8 @@
 decides on retries, and :mod:`papayaloom.process.dispatch` chooses the replicas.
 """
 
+import time
+
 import msgspec
 import result
 import structlog
@@ -85,6 +87,10 @@
             frozenset(job.tried),
             job.progress.sends > 0,
             job.fingerprint,
+            job.organisation,
+            job.progress.has_begun,
+            job.route.objective_s,
+            job.remaining_s(),
         )
         return self._deps.dispatch_client.place(request)
 
@@ -93,15 +99,18 @@
     ) -> forward_attempt.Outcome:
         replica = choice.replica
         job.tried.add(replica.id)
+        started_at = time.monotonic()
         try:
             outcome = self._exchange(job, choice)
         except BaseException:
             abandoned = forward_job.Failure(_MAY_HAVE_RUN, 'attempt abandoned')
-            self._report_outcome(job, replica, result.Err(abandoned))
+            self._report_outcome(
+                job, replica, result.Err(abandoned), started_at
+            )
             raise
         if isinstance(outcome, result.Err):
             forward_job.count_failure(job.progress, outcome.err_value)
-        self._report_outcome(job, replica, outcome)
+        self._report_outcome(job, replica, outcome, started_at)
         return outcome
 
     def _exchange(
@@ -160,8 +169,11 @@
         job: forward_job.Job,
         replica: replicas.Replica,
         outcome: forward_attempt.Outcome,
+        started_at: float,
     ) -> None:
         failure = outcome.err()
+        is_not_run = failure is not None and failure.verdict is _NOT_RUN
+        duration_s = None if is_not_run else time.monotonic() - started_at
         self._deps.dispatch_client.ended(
             dispatch.AttemptResult(
                 job.service,
@@ -171,6 +183,8 @@
                 job.fingerprint,
                 _suspicion(job, replica, failure),
                 is_success=outcome.unwrap_or(_SERVER_ERROR) < _SERVER_ERROR,
+                organisation=job.organisation,
+                duration_s=duration_s,
             )
         )
 
--- a/papayaloom/process/load_estimates.py
+++ b/papayaloom/process/load_estimates.py
@@ -92,10 +92,17 @@
         return dict(self._own)
 
     def estimates(
-        self, replicas: typing.Sequence[str], now: float
+        self,
+        replicas: typing.Sequence[str],
+        now: float,
+        expected_others: float = 0,
     ) -> dict[str, LoadEstimate]:
-        """Return the estimates for some replicas."""
-        others = self._others(replicas, now)
+        """Return the estimates for some replicas.
+
+        :param expected_others: requests of the other routers at each replica,
+            used if none has a current report.
+        """
+        others = self._others(replicas, now, expected_others)
         return {
             replica: LoadEstimate(
                 own=self._own.get(replica, 0),
@@ -106,7 +113,7 @@
         }
 
     def _others(
-        self, replicas: typing.Sequence[str], now: float
+        self, replicas: typing.Sequence[str], now: float, expected: float
     ) -> dict[str, float]:
         """Return the requests of the other routers at some replicas.
 
@@ -119,7 +126,7 @@
             if (report := self._reports.get(replica))
             and now - report.reported_at < _REPORT_EXPIRY_S
         }
-        mean = sum(current.values()) / len(current) if current else 0
+        mean = sum(current.values()) / len(current) if current else expected
         return {replica: current.get(replica, mean) for replica in replicas}
 
     def _age_s(self, replica: str, now: float) -> float:
--- a/papayaloom/process/replicas.py
+++ b/papayaloom/process/replicas.py
@@ -35,7 +35,7 @@
     """A listed replica.
 
     :param address: host and port.
-    :param slots: number of requests that it runs concurrently.
+    :param slots: number of requests that it runs concurrently; 0 if unknown.
     :param born: start of its process, Unix milliseconds; 0 if unknown.
     """
 
@@ -43,7 +43,7 @@
     service: ids.ServiceId
     address: tuple[str, int]
     zone: str = ''
-    slots: int = 1
+    slots: int = 0
     state: State = State.READY
     born: int = 0
 
