Name a replica to copy the prefix from for every prefix

Change: the source is the highest in rank besides the chosen replica that is not new, always. The placement log tells the prefix's tokens. spread.feature: the first replica copies from the second instead of from nowhere, checked as strictly.

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -10,6 +10,7 @@
     When 120 requests arrive at once, half of them with the prefix "hot"
     Then no replica got a request above twice the mean load and 3 more
     And the overflow was told to copy the prefix from its first replica
+    And the first replica was told to copy it from the second in rank
 
   Scenario: A new replica is told where the prefix was cached before it came
     Given 6 replicas of a service and 1 routers that share no word
@@ -19,7 +20,7 @@
     Then it goes to the new replica, which copies from the one before
     When 10 s pass
     And a request with the prefix "care-7" is placed
-    Then it goes to the new replica, which copies from nowhere
+    Then it goes to the new replica, which copies from the one before
 
   Scenario: The prefix of a replica that drains is copied from it while it is there
     Given 6 replicas of a service and 1 routers that share no word
--- a/papayaloom/process/forward_job.py
+++ b/papayaloom/process/forward_job.py
@@ -93,6 +93,13 @@
     return job.request_info.parts[-2].name
 
 
+def shared_tokens(job: Job) -> int:
+    """Return the length of that prefix in tokens."""
+    if not shared_prefix(job):
+        return 0
+    return sum(part.tokens for part in job.request_info.parts[:-1])
+
+
 def is_event_stream(job: Job, response: h11.Response) -> bool:
     """Tell whether a response is forwarded event by event."""
     return (
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -211,6 +211,7 @@
             version=job.version,
             replica=choice.replica.id,
             prefix=forward_job.shared_prefix(job),
+            prefix_tokens=forward_job.shared_tokens(job),
             load=round(choice.load, 1),
             mean=round(choice.mean, 1),
             copy_from=choice.source.id if choice.source else '',
--- a/papayaloom/process/replica_choice.py
+++ b/papayaloom/process/replica_choice.py
@@ -119,10 +119,15 @@
     ranked: list[replicas.Replica],
     chosen: replicas.Replica,
 ) -> replicas.Replica | None:
-    """Return the highest ranked replica that is not new, unless chosen."""
+    """Return the highest ranked other replica that is not new.
+
+    Also for the first in rank: after a restart, an ejection or an overflow,
+    another replica may have what it lacks. Nothing is copied that the chosen
+    replica has.
+    """
     for one in ranked:
-        if one.id not in eligible.recently_started:
-            return None if one is chosen else one
+        if one.id not in eligible.recently_started and one is not chosen:
+            return one
     return None
 
 
