Tell requests that fail everywhere from replicas that fail

Each failure counted against the replica that reported it and spent the retry budget; ejections were not logged. Change: process/failing_requests.py holds an error response back until another replica has answered the request; then it counts. A line tells each ejection. RetryBound moves to budgets.py and the problem documents to placement_problems.py, unchanged, so that dispatch.py shrinks.

--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -5,7 +5,7 @@
 
 from features import placement_model
 from papayaloom import hashing, ids
-from papayaloom.process import dispatch, replicas, request_counts
+from papayaloom.process import budgets, dispatch, replicas, request_counts
 
 SERVICE = ids.ServiceId('pool')
 
@@ -215,7 +215,7 @@
 )
 def share_of_slack(context, slack):
     hosts = len(context.routers)
-    share = dispatch.RetryBound(slack=slack).share(hosts)
+    share = budgets.RetryBound(slack=slack).share(hosts)
     saved = share.saved_retries + share.idle_retries_per_s * 10
     assert saved * hosts <= slack, saved * hosts
     assert share.first_retries * hosts <= slack / 2
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -7,6 +7,7 @@
 from papayaloom import errors
 from papayaloom.platform import documents
 from papayaloom.process import (
+    budgets,
     dispatch,
     fleet_hosts,
     gateway,
@@ -140,9 +141,9 @@
         raise errors.SettingsError(f'settings field {name}: {exc}') from exc
 
 
-def _retry_bound(fields: dict[str, str]) -> dispatch.RetryBound:
-    defaults = dispatch.RetryBound()
-    return dispatch.RetryBound(
+def _retry_bound(fields: dict[str, str]) -> budgets.RetryBound:
+    defaults = budgets.RetryBound()
+    return budgets.RetryBound(
         ratio=_number(fields, 'bounds.budgetRatio', defaults.ratio),
         slack=_number(fields, 'bounds.budgetSlack', defaults.slack),
         window_s=_number(fields, 'bounds.budgetWindowS', defaults.window_s),
--- a/papayaloom/process/budgets.py
+++ b/papayaloom/process/budgets.py
@@ -2,6 +2,11 @@
 
 import msgspec
 
+# Parts of the bound on retries that a router saves, refills and earns.
+_SAVED_SLACK_SHARE = 0.5
+_REFILL_SLACK_SHARE = 0.35
+_RATIO_SHARE = 0.6
+
 
 class Cfg(msgspec.Struct, frozen=True):
     """Limits of the retry budgets.
@@ -18,6 +23,35 @@
     first_retries: float = 1
 
 
+class RetryBound(msgspec.Struct, frozen=True):
+    """Bound on the retries of all routers together, for each service.
+
+    In every window, at most ``ratio`` x requests + ``slack`` retries are sent.
+    """
+
+    ratio: float = 0.2
+    slack: float = 52
+    window_s: float = 10
+
+    def share(self, hosts: int) -> Cfg:
+        """Return the retry budget of one router.
+
+        Saved and refilled retries may be spent in the same window, and a
+        router that restarts begins with a full bucket, so their sum must stay
+        below the slack.
+
+        :param hosts: number of routers in the fleet.
+        """
+        slack = self.slack / max(hosts, 1)
+        saved = max(slack * _SAVED_SLACK_SHARE, 1)
+        return Cfg(
+            budget_ratio=self.ratio * _RATIO_SHARE,
+            saved_retries=saved,
+            idle_retries_per_s=slack * _REFILL_SLACK_SHARE / self.window_s,
+            first_retries=saved,
+        )
+
+
 class TokenBucket(msgspec.Struct):
     """Retries available for one upstream or for the router.
 
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -13,11 +13,13 @@
 from papayaloom.process import (
     budgets,
     ejection,
+    failing_requests,
     fleet_traffic,
     load_estimates,
     load_shedding,
     moving_averages,
     pauses,
+    placement_problems,
     poison,
     quarantine,
     replica_choice,
@@ -28,44 +30,10 @@
 
 # Time for which a replica gets no requests after a failed connection.
 _UNREACHABLE_HOLD_S = 2.0
-_UNAVAILABLE_RETRY_S = 0.5
-_SAVED_SLACK_SHARE = 0.5
-_REFILL_SLACK_SHARE = 0.35
-_RATIO_SHARE = 0.6
-_NO_BUDGET_RETRY_S = 1.0
 # Jitter as a share of the pause, so that callers do not all return at once.
 _PAUSE_JITTER = 0.25
 
 
-class RetryBound(msgspec.Struct, frozen=True):
-    """Bound on the retries of all routers together, for each service.
-
-    In every window, at most ``ratio`` x requests + ``slack`` retries are sent.
-    """
-
-    ratio: float = 0.2
-    slack: float = 52
-    window_s: float = 10
-
-    def share(self, hosts: int) -> budgets.Cfg:
-        """Return the retry budget of one router.
-
-        Saved and refilled retries may be spent in the same window, and a
-        router that restarts begins with a full bucket, so their sum must stay
-        below the slack.
-
-        :param hosts: number of routers in the fleet.
-        """
-        slack = self.slack / max(hosts, 1)
-        saved = max(slack * _SAVED_SLACK_SHARE, 1)
-        return budgets.Cfg(
-            budget_ratio=self.ratio * _RATIO_SHARE,
-            saved_retries=saved,
-            idle_retries_per_s=slack * _REFILL_SLACK_SHARE / self.window_s,
-            first_retries=saved,
-        )
-
-
 class Cfg(msgspec.Struct, frozen=True):
     """Settings of the components."""
 
@@ -74,7 +42,7 @@
     ejecting: ejection.Cfg = ejection.Cfg(
         consecutive=4, window=16, base_s=2, longest_s=8
     )
-    repeats: RetryBound = RetryBound()
+    repeats: budgets.RetryBound = budgets.RetryBound()
     blaming: poison.Cfg = poison.Cfg()
     shedding: load_shedding.Cfg = load_shedding.Cfg()
 
@@ -113,6 +81,8 @@
     :param is_success: the caller got a complete response that is no error.
     :param duration_s: time for which the replica had the request; None if it
         did not run it.
+    :param is_error_response: the replica answered with an error status, which
+        may be the fault of the request.
     """
 
     service: ids.ServiceId
@@ -124,6 +94,7 @@
     is_success: bool = False
     organisation: str = ''
     duration_s: float | None = None
+    is_error_response: bool = False
 
 
 PlacementResult = result.Result[replica_choice.Choice, errors.Problem]
@@ -151,6 +122,7 @@
         self._ejections: dict[ids.ServiceId, ejection.Ejection] = {}
         self._unreachable_until: dict[str, float] = {}
         self._pauses = pauses.Pauses()
+        self._failing = failing_requests.FailingRequests()
 
     def set_fleet_size(self, hosts: int) -> None:
         """Set the number of routers in the fleet."""
@@ -162,10 +134,14 @@
         """Choose the replica for an attempt and count the request there."""
         treatment = self.poison.treatment(request.fingerprint, now)
         if treatment is quarantine.Treatment.REFUSED:
-            return result.Err(_poison_refusal(request, self.poison.retry_s()))
+            return result.Err(
+                placement_problems.condemned(
+                    request.fingerprint, self.poison.retry_s()
+                )
+            )
         ready = self.replicas.ready(request.service, now)
         if not ready:
-            return result.Err(_unavailable(request))
+            return result.Err(placement_problems.unavailable(request.service))
         ejections = self._ejection_of(request.service)
         ejections.update_upstreams(one.id for one in ready)
         candidates = self._candidates(request, ready, now)
@@ -173,50 +149,22 @@
             candidates = self._isolated(candidates)
         if not candidates:
             return result.Err(
-                _unavailable(request, self._pause_retry_s(ready, now))
-            )
-        estimates = self._estimates(request.service, ready, now)
-        traffic = self._traffic.expected(request.service, estimates, now)
-        admitted = self._shedder.admit(
-            _demand(request),
-            load_shedding.Load(
-                candidates,
-                estimates,
-                traffic.service_time_s,
-                traffic.arrivals_per_s,
-                self._traffic.hosts,
-            ),
-            now,
-        )
-        if isinstance(admitted, errors.Problem):
-            return result.Err(admitted)
-        if request.is_retry and not self._budgets.spend(request.service, now):
-            return result.Err(
-                errors.Problem(
-                    'the retry budget is spent',
-                    503,
-                    retry_after_s=_NO_BUDGET_RETRY_S,
+                placement_problems.unavailable(
+                    request.service, self._pause_retry_s(ready, now)
                 )
             )
-        choice = replica_choice.choose(
-            self._eligible(request, admitted, now),
-            estimates,
-            traffic,
-            request.prefix,
-            self._cfg.spreading,
-            self._rng,
-        )
-        self._traffic.record_arrival(request.service, choice.preferred, now)
-        self._shedder.record_start(request.service, request.organisation)
-        chosen = choice.replica.id
-        if ejections.status(chosen, now) is ejection.Status.TRIAL:
-            ejections.start_trial(chosen, now)
-        self._load_estimates.record_start(chosen)
-        self.poison.record_start(request.fingerprint, chosen)
-        return result.Ok(choice)
+        chosen = self._choose(request, ready, candidates, now)
+        if isinstance(chosen, result.Ok):
+            self._record_placement(request, chosen.ok_value, now)
+        return chosen
 
-    def ended(self, attempt_result: AttemptResult, now: float) -> None:
-        """Record the result of an attempt."""
+    def ended(
+        self, attempt_result: AttemptResult, now: float
+    ) -> list[replicas.ReplicaId]:
+        """Record the result of an attempt.
+
+        :returns: the replicas that are ejected because of it.
+        """
         self._load_estimates.record_end(attempt_result.replica)
         self._shedder.record_end(
             attempt_result.service, attempt_result.organisation
@@ -238,14 +186,7 @@
             self._unreachable_until[attempt_result.replica] = (
                 now + _UNREACHABLE_HOLD_S
             )
-        if attempt_result.is_failure is None:
-            return
-        ejections = self._ejection_of(attempt_result.service)
-        if attempt_result.is_failure:
-            ejections.record_failure(attempt_result.replica, now)
-            return
-        ejections.record_success(attempt_result.replica, now)
-        self._budgets.record_success(attempt_result.service, now)
+        return self._record_health(attempt_result, now)
 
     def record_load(
         self, replica: replicas.ReplicaId, load: header_dialect.Load, now: float
@@ -305,6 +246,98 @@
             'poison': self.poison.dump(),
         }
 
+    def _choose(
+        self,
+        request: PlacementRequest,
+        ready: list[replicas.Replica],
+        candidates: list[replicas.Replica],
+        now: float,
+    ) -> PlacementResult:
+        """Choose one of the candidates, unless the request is rejected."""
+        estimates = self._estimates(request.service, ready, now)
+        traffic = self._traffic.expected(request.service, estimates, now)
+        admitted = self._shedder.admit(
+            _demand(request),
+            load_shedding.Load(
+                candidates,
+                estimates,
+                traffic.service_time_s,
+                traffic.arrivals_per_s,
+                self._traffic.hosts,
+            ),
+            now,
+        )
+        if isinstance(admitted, errors.Problem):
+            return result.Err(admitted)
+        refusal = self._retry_refusal(request, now)
+        if refusal is not None:
+            return result.Err(refusal)
+        choice = replica_choice.choose(
+            self._eligible(request, admitted, now),
+            estimates,
+            traffic,
+            request.prefix,
+            self._cfg.spreading,
+            self._rng,
+        )
+        return result.Ok(choice)
+
+    def _record_placement(
+        self,
+        request: PlacementRequest,
+        choice: replica_choice.Choice,
+        now: float,
+    ) -> None:
+        self._traffic.record_arrival(request.service, choice.preferred, now)
+        self._shedder.record_start(request.service, request.organisation)
+        chosen = choice.replica.id
+        ejections = self._ejection_of(request.service)
+        if ejections.status(chosen, now) is ejection.Status.TRIAL:
+            ejections.start_trial(chosen, now)
+        self._load_estimates.record_start(chosen)
+        self.poison.record_start(request.fingerprint, chosen)
+
+    def _record_health(
+        self, attempt_result: AttemptResult, now: float
+    ) -> list[replicas.ReplicaId]:
+        """Record what an attempt says about the health of replicas."""
+        if attempt_result.is_failure is None:
+            return []
+        ejections = self._ejection_of(attempt_result.service)
+        chosen = attempt_result.replica
+        if not attempt_result.is_failure:
+            ejections.record_success(chosen, now)
+            self._budgets.record_success(attempt_result.service, now)
+            failed = self._failed_on_their_own(attempt_result, now)
+        elif attempt_result.is_error_response and chosen not in (
+            ejections.ejected()
+        ):
+            self._failing.record_error(attempt_result.fingerprint, chosen, now)
+            failed = set()
+        else:
+            failed = {chosen}
+        return [one for one in failed if ejections.record_failure(one, now)]
+
+    def _failed_on_their_own(
+        self, attempt_result: AttemptResult, now: float
+    ) -> set[replicas.ReplicaId]:
+        """Return the replicas that failed a request that can be answered."""
+        if not attempt_result.is_success:
+            return set()
+        return self._failing.record_success(attempt_result.fingerprint, now)
+
+    def _retry_refusal(
+        self, request: PlacementRequest, now: float
+    ) -> errors.Problem | None:
+        """Return why a retry is not sent; None if it or a first attempt is."""
+        if not request.is_retry:
+            return None
+        if self._failing.fails_everywhere(request.fingerprint, now):
+            return placement_problems.fails_everywhere()
+        if self._budgets.spend(request.service, now):
+            return None
+        return placement_problems.budget_spent()
+
     def _estimates(
         self,
         service: ids.ServiceId,
@@ -405,30 +438,3 @@
         request.left_s,
         request.has_begun,
     )
-
-
-def _unavailable(
-    request: PlacementRequest, pause_s: float = 0
-) -> errors.Problem:
-    """Return the problem for a request that no replica can take.
-
-    :param pause_s: retry delay while all replicas pause; 0 if they do not.
-    """
-    return errors.Problem(
-        'no replica can take the request',
-        503,
-        detail=f'service {request.service}',
-        retry_after_s=pause_s or _UNAVAILABLE_RETRY_S,
-    )
-
-
-def _poison_refusal(
-    request: PlacementRequest, retry_s: float
-) -> errors.Problem:
-    """Return the problem for a request that crashes replicas."""
-    return errors.Problem(
-        'replicas ended while they ran this request',
-        503,
-        detail=f'fingerprint {request.fingerprint} is condemned',
-        retry_after_s=retry_s,
-    )
--- a/papayaloom/process/dispatch_actor.py
+++ b/papayaloom/process/dispatch_actor.py
@@ -139,7 +139,12 @@
         attempt_result: dispatch.AttemptResult,
         now: float,
     ) -> None:
-        dispatcher.ended(attempt_result, now)
+        for replica in dispatcher.ended(attempt_result, now):
+            _log.info(
+                'dispatch: a replica is ejected',
+                replica=replica,
+                fingerprint=attempt_result.fingerprint,
+            )
         self._notify_pending_report(dispatcher)
 
     def _notify_pending_report(self, dispatcher: dispatch.Dispatcher) -> None:
--- a/papayaloom/process/forward_attempt.py
+++ b/papayaloom/process/forward_attempt.py
@@ -171,7 +171,9 @@
         if job.progress.has_begun or not job.route.is_repeatable:
             return None
         reason = f'the replica failed with {buffered.status}'
-        return forward_job.Failure(_MAY_HAVE_RUN, reason, replica_failed=True)
+        return forward_job.Failure(
+            _MAY_HAVE_RUN, reason, replica_failed=True, is_error_response=True
+        )
 
     def _forward_stream(self, response: h11.Response) -> Outcome:
         joiner = self._job.joiner
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -185,6 +185,7 @@
                 is_success=outcome.unwrap_or(_SERVER_ERROR) < _SERVER_ERROR,
                 organisation=job.organisation,
                 duration_s=duration_s,
+                is_error_response=bool(failure and failure.is_error_response),
             )
         )
 
--- /dev/null
+++ b/papayaloom/process/placement_problems.py
@@ -0,0 +1,41 @@
+"""Problem documents of requests that are placed on no replica."""
+
+from papayaloom import errors, ids
+
+_UNAVAILABLE_RETRY_S = 0.5
+_NO_BUDGET_RETRY_S = 1.0
+
+
+def unavailable(service: ids.ServiceId, pause_s: float = 0) -> errors.Problem:
+    """Return the problem for a request that no replica can take.
+
+    :param pause_s: retry delay while all replicas pause; 0 if they do not.
+    """
+    return errors.Problem(
+        'no replica can take the request',
+        503,
+        detail=f'service {service}',
+        retry_after_s=pause_s or _UNAVAILABLE_RETRY_S,
+    )
+
+
+def condemned(fingerprint: ids.Fingerprint, retry_s: float) -> errors.Problem:
+    """Return the problem for a request that crashes replicas."""
+    return errors.Problem(
+        'replicas ended while they ran this request',
+        503,
+        detail=f'fingerprint {fingerprint} is condemned',
+        retry_after_s=retry_s,
+    )
+
+
+def fails_everywhere() -> errors.Problem:
+    """Return the problem for a retry that would fail as the attempts before."""
+    return errors.Problem('the request fails at every replica', 503)
+
+
+def budget_spent() -> errors.Problem:
+    """Return the problem for a retry that the retry budget does not allow."""
+    return errors.Problem(
+        'the retry budget is spent', 503, retry_after_s=_NO_BUDGET_RETRY_S
+    )
