Bound the retry delays of callers with very long deadlines

Cause: read in the diff: a caller that states a timeout of an hour, or of inf, would have been told to return after 20 minutes, or never, when a host knows no routes. Change: at most 10 s. PlacementRequest is built by keywords.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -73,6 +73,8 @@
       | 12   | 3     | 4    |
       | 3    | 0.75  | 1    |
       | 0    | 0.1   | 0.25 |
+      | 3600 | 7.5   | 10   |
+      | inf  | 7.5   | 10   |
 
   Scenario Outline: A rejected retry says "not run" only if no attempt may have run
     When a retry is rejected with <status> after <runs> attempts that may have run
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -82,15 +82,15 @@
 
     def _place(self, job: forward_job.Job) -> dispatch.PlacementResult:
         request = dispatch.PlacementRequest(
-            job.service,
-            forward_job.shared_prefix(job),
-            frozenset(job.tried),
-            job.progress.sends > 0,
-            job.fingerprint,
-            job.organisation,
-            job.progress.runs > 0,
-            job.route.objective_s,
-            job.remaining_s(),
+            service=job.service,
+            prefix=forward_job.shared_prefix(job),
+            tried=frozenset(job.tried),
+            is_retry=job.progress.sends > 0,
+            fingerprint=job.fingerprint,
+            organisation=job.organisation,
+            may_have_run=job.progress.runs > 0,
+            objective_s=job.route.objective_s,
+            left_s=job.remaining_s(),
         )
         return self._deps.dispatch_client.place(request)
 
--- a/papayaloom/process/retry_delays.py
+++ b/papayaloom/process/retry_delays.py
@@ -12,6 +12,8 @@
 # Callers do not wait longer than this share of the time that they have left.
 _MAX_SHARE_OF_LEFT = 1 / 3
 _MIN_S = 0.25
+# Bounds the delay of callers with very long deadlines.
+_MAX_S = 10.0
 # Share of rejected requests from which callers get the longest delay.
 _LONGEST_FROM_SHARE = 0.5
 # Delays are uniformly distributed between this share and the whole.
@@ -40,4 +42,4 @@
 
 
 def _spread(delay_s: float, rng: random.Random) -> float:
-    return delay_s * rng.uniform(_MIN_SPREAD, 1)
+    return min(delay_s, _MAX_S) * rng.uniform(_MIN_SPREAD, 1)
