Log the bound of a placement, and what it was decided from

Cause: of the three hypotheses on LIMIT, the placement line could tell none from the others: it had the load and the mean, not the bound, the age of the report or the arrivals expected from the other hosts.

No decision changes.

Result: spread.feature and overload.feature pass as before.

--- a/papayaloom/process/replica_choice.py
+++ b/papayaloom/process/replica_choice.py
@@ -60,15 +60,21 @@
     """The chosen replica, and one that may have the prompt prefix cached.
 
     :param source: replica to copy the prefix cache from; None if not useful.
-    :param load: estimated requests at the chosen replica.
+    :param estimate: estimated load of the chosen replica.
     :param mean: mean estimate over the candidates.
+    :param bound: load up to which a replica with the prefix is preferred; 0 for
+        a request without a prefix.
+    :param preferred_per_s: arrivals per second at the other routers for which
+        the chosen replica ranks first.
     :param preferred: the candidate that ranks first for the prefix.
     """
 
     replica: replicas.Replica
+    estimate: load_estimates.LoadEstimate
     source: replicas.Replica | None = None
-    load: float = 0
     mean: float = 0
+    bound: float = 0
+    preferred_per_s: float = 0
     preferred: replicas.Replica | None = None
 
 
@@ -103,7 +109,7 @@
     )
     if not prefix:
         chosen = _water_fill(eligible.candidates, estimates, traffic, rng)
-        return Choice(chosen, None, estimates[chosen.id].total, mean)
+        return Choice(chosen, estimates[chosen.id], mean=mean)
     ranked = _ranked(eligible, prefix)
     by_rank = _candidates_by_rank(eligible, ranked)
     bound = cfg.factor * mean + cfg.slack
@@ -111,7 +117,15 @@
         by_rank, estimates, traffic, bound, rng
     ) or _water_fill(eligible.candidates, estimates, traffic, rng)
     source = _copy_source(eligible, ranked, chosen)
-    return Choice(chosen, source, estimates[chosen.id].total, mean, by_rank[0])
+    return Choice(
+        chosen,
+        estimates[chosen.id],
+        source,
+        mean,
+        bound,
+        traffic.preferred_per_s(chosen.id),
+        by_rank[0],
+    )
 
 
 def _copy_source(
