Compare the load of a replica with the mean of the same moment

Cause: the bound came from the mean of what all replicas had when their reports came, up to 4 s ago.

Change: the mean is that expected now, from reports that fade and the arrivals since, which are capped by those of the last half second. A replica's own service time, by Little's law, is used in small fleets too, as it was in large ones.

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -104,6 +104,12 @@
       | 8        | 24    | 18  |
       | 9        | 60    | 30  |
 
+  # Guards against LIMIT after a burst: a bound from the loads of the past.
+  Scenario: A bound that is left from a burst fills the last replica that is busy no further
+    Given a fleet of 8 routers, each with 5 replicas
+    When they hear answers, while 31 streams a second of 1.1 s arrive for 22 s, 30 in 100 of them with one prefix, from 8 s to 14 s 8 times as many
+    Then from 14 s on, in no 5 s do 20 requests and more than 3 in 100 reach a replica above twice the mean load and 3 more
+
   # Guards against LIMIT at the onset of a burst: rates that follow too late.
   Scenario: A burst does not fill the first in rank before the sums tell of it
     Given a fleet of 80 routers, each with 30 replicas
--- a/papayaloom/process/arrival_rates.py
+++ b/papayaloom/process/arrival_rates.py
@@ -77,3 +77,12 @@
     :param recent: arrivals within :data:`RECENT_S`.
     """
     return max(usual_per_s, (recent - math.sqrt(recent)) / RECENT_S)
+
+
+def lowered(usual_per_s: float, recent: int) -> float:
+    """Return a rate that is not above what the recent arrivals show.
+
+    :param recent: arrivals within :data:`RECENT_S`.
+    """
+    most = recent + 2 * (math.sqrt(recent) + 1)
+    return min(usual_per_s, most / RECENT_S)
--- a/papayaloom/process/fleet_traffic.py
+++ b/papayaloom/process/fleet_traffic.py
@@ -81,6 +81,7 @@
             self._by_preferred.counts(span_s, now),
             self._by_service.counts(span_s, now),
             self._by_preferred.recent_counts(now),
+            self._by_service.recent_counts(now),
         )
 
     def expected(
@@ -94,6 +95,7 @@
         running = sum(one.total for one in estimates.values())
         return replica_choice.Traffic(
             arrivals_per_s=self.others_per_s(service, now),
+            least_arrivals_per_s=self._least_arrivals_per_s(service, now),
             preferred_per_s=lambda name: self._preferred_per_s(name, now),
             service_time_s=_service_time_s(
                 running, arrivals / request_counts.ARRIVAL_WINDOW_S
@@ -118,6 +120,20 @@
         certain = max(seen - _DEVIATIONS * math.sqrt(seen), 0)
         return certain / seen * self.others_per_s(service, now)
 
+    def _least_arrivals_per_s(
+        self, service: ids.ServiceId, now: float
+    ) -> float:
+        """Return the others' rate, not above what recent arrivals show."""
+        if self._has_totals(now):
+            recent = self._totals.recent_arrived.get(service, 0)
+            usual_per_s = self.others_per_s(service, now)
+            return arrival_rates.lowered(
+                usual_per_s, round(recent * self._others_share())
+            )
+        recent = self._by_service.recent_counts(now).get(service, 0)
+        own_per_s = self._by_service.per_s(service, now)
+        return arrival_rates.lowered(own_per_s, recent) * (self.hosts - 1)
+
     def _preferred_per_s(self, replica: str, now: float) -> float:
         """Return the others' rate, not below what recent arrivals show."""
         usual_per_s = (
--- a/papayaloom/process/replica_choice.py
+++ b/papayaloom/process/replica_choice.py
@@ -42,6 +42,7 @@
     """Requests that the other routers are expected to place concurrently.
 
     :param arrivals_per_s: arrivals per second for the whole service.
+    :param least_arrivals_per_s: the same, lowered at once when traffic falls.
     :param preferred_per_s: returns the arrivals per second whose prefix ranks
         a given replica first, raised at once when traffic rises.
     :param service_time_s: mean time that a request spends at a replica.
@@ -51,6 +52,7 @@
     """
 
     arrivals_per_s: float
+    least_arrivals_per_s: float
     preferred_per_s: typing.Callable[[str], float]
     service_time_s: float
     is_fleet_wide: bool
@@ -61,7 +63,7 @@
 
     :param source: replica to copy the prefix cache from; None if not useful.
     :param estimate: estimated load of the chosen replica.
-    :param mean: mean estimate over the candidates.
+    :param mean: expected mean load of the candidates.
     :param bound: load up to which a replica with the prefix is preferred; 0 for
         a request without a prefix.
     :param preferred_per_s: arrivals per second at the other routers for which
@@ -104,9 +106,7 @@
 
     :param prefix: name of the shared prefix, or empty.
     """
-    mean = sum(estimates[one.id].total for one in eligible.candidates) / len(
-        eligible.candidates
-    )
+    mean = _expected_mean(eligible.candidates, estimates, traffic)
     if not prefix:
         chosen = _water_fill(eligible.candidates, estimates, traffic, rng)
         return Choice(chosen, estimates[chosen.id], mean=mean)
@@ -128,6 +128,25 @@
     )
 
 
+def _expected_mean(
+    candidates: typing.Sequence[replicas.Replica],
+    estimates: dict[str, load_estimates.LoadEstimate],
+    traffic: Traffic,
+) -> float:
+    """Return the mean load that the candidates are expected to have now."""
+    service_time_s = traffic.service_time_s
+    arrivals_per_s = traffic.least_arrivals_per_s / len(candidates)
+    expected: float = 0
+    for one in candidates:
+        estimate = estimates[one.id]
+        expected += (
+            estimate.own
+            + estimate.others * estimate.remaining_fraction(service_time_s)
+            + estimate.expected_arrivals(service_time_s, arrivals_per_s)
+        )
+    return expected / len(candidates)
+
+
 def _copy_source(
     eligible: Eligible,
     ranked: list[replicas.Replica],
@@ -178,11 +197,9 @@
     for one in by_rank[:_MAX_PREFERRED]:
         estimate = estimates[one.id]
         arrivals_per_s = traffic.preferred_per_s(one.id)
-        service_time_s = traffic.service_time_s
-        if traffic.is_fleet_wide:
-            service_time_s = _replica_service_time_s(
-                estimate, arrivals_per_s, service_time_s
-            )
+        service_time_s = _replica_service_time_s(
+            estimate, arrivals_per_s, traffic.service_time_s
+        )
         remaining_fraction = estimate.remaining_fraction(service_time_s)
         arriving = (
             overflow
--- a/papayaloom/process/request_counts.py
+++ b/papayaloom/process/request_counts.py
@@ -24,12 +24,14 @@
     :param arrived: arrivals within :data:`ARRIVAL_WINDOW_S`, by service.
     :param recent_first: as ``first``, within
         :data:`papayaloom.process.arrival_rates.RECENT_S`.
+    :param recent_arrived: as ``arrived``, within the same time.
     """
 
     running: dict[str, int] = {}
     first: dict[str, int] = {}
     arrived: dict[str, int] = {}
     recent_first: dict[str, int] = {}
+    recent_arrived: dict[str, int] = {}
 
 
 def add(parts: typing.Iterable[RequestCounts]) -> RequestCounts:
