--- a/papayaloom/process/forward_job.py
+++ b/papayaloom/process/forward_job.py
@@ -97,6 +97,13 @@
     return job.request_info.parts[-2].name
 
 
+def shared_parts(job: Job) -> tuple[ids.Fingerprint, ...]:
+    """Return the names of the prompt parts that other requests may share."""
+    return tuple(
+        ids.Fingerprint(part.name) for part in job.request_info.parts[:-1]
+    )
+
+
 def shared_tokens(job: Job) -> int:
     """Return the length of that prefix in tokens."""
     if not shared_prefix(job):
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -235,12 +235,23 @@
             verdict=failure.verdict.value,
             why=failure.reason,
             has_ended=failure.process_ended,
+            has_begun=failure.has_begun,
+            parts=_suspect_parts(job, failure),
             runs=job.progress.runs,
             left_s=round(job.remaining_s(), 3),
             step=step.value,
         )
 
 
+def _suspect_parts(
+    job: forward_job.Job, failure: forward_job.Failure
+) -> tuple[str, ...]:
+    """Return the prompt parts that may have terminated the replica."""
+    if not failure.process_ended or failure.has_begun:
+        return ()
+    return forward_job.shared_parts(job)
+
+
 def _suspicion(
     job: forward_job.Job,
     replica: replicas.Replica,
