Refuse prompt parts under which replicas end, whatever else the request holds

Cause: hosts recognised a request that ends replicas by all of it, so requests that share only the deadly part were suspects with one end each. The log showed suspicions at every end, the same part at every end, and nothing condemned.

Change: each shared part of a prompt is tracked as well (process/poison_detector.py). A part is suspect if an answer with it had not begun when the replica ended; an answer that began acquits it; ends within a second count once; hosts wait half a second for each other's evidence; of several parts the last in the prompt is condemned, and ends that it explains do not count against the others, so that the first part, which sound requests share, stays free.

--- a/features/machines/poison_machine.py
+++ b/features/machines/poison_machine.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from papayaloom import ids
-from papayaloom.process import poison, quarantine, replicas
+from papayaloom.process import poison, poison_evidence, quarantine, replicas
 
 HOSTS = (0, 1, 2)
 NAMES = ('a', 'b')
@@ -63,7 +63,7 @@
     @stateful.rule(name=NAME, has_begun=st.booleans())
     def replica_ends(self, name, has_begun):
         """A replica ends, under poison if it has any."""
-        start = poison.start_id(
+        start = poison_evidence.start_id(
             replicas.Replica(
                 id=replicas.ReplicaId(name),
                 service=ids.ServiceId('pool'),
@@ -77,7 +77,7 @@
             is_late = has_begun and mark is not POISON
             self.ends[mark].add((name, self.births[name]))
             self.hosts[host].record_attempt_end(mark, name)
-            suspicion = poison.Suspicion(mark, start, is_late)
+            suspicion = poison_evidence.Suspicion(mark, start, is_late)
             self.hosts[host].record_termination(suspicion, self.now)
         self.write()
 
@@ -153,7 +153,7 @@
         """Hand the news of all hosts to the others, by way of the store."""
         for host in HOSTS:
             report = self.hosts[host].take_report()
-            if report == poison.Report():
+            if report == poison_evidence.Report():
                 continue
             self.written.append(report)
             for other in HOSTS:
@@ -162,12 +162,16 @@
 
 def keeps_silent():
     """Fault: hosts don't tell each other of ends."""
-    return mock.patch.object(poison.PoisonTracker, 'take_report', poison.Report)
+    return mock.patch.object(
+        poison.PoisonTracker, 'take_report', poison_evidence.Report
+    )
 
 
 def one_end_a_replica():
     """Fault: another start of a replica counts as the same end."""
-    return mock.patch.object(poison, 'start_id', lambda replica: replica.id)
+    return mock.patch.object(
+        poison_evidence, 'start_id', lambda replica: replica.id
+    )
 
 
 def never_clears():
--- a/features/mortal_fleet.py
+++ b/features/mortal_fleet.py
@@ -20,6 +20,10 @@
 from papayaloom.standins import platform_store
 
 POISON = 'poison'
+# Names of prompt parts in hexadecimal.
+SHARED_PART = 'aa01'
+POISON_PART = 'dead'
+_PARTS_HEADER = 'Papayaloom-Prompt-Prefix'
 _BACK_S = 0.8
 _REGISTER_S = 0.2
 _EVENTS = 5
@@ -117,7 +121,11 @@
 
     def _script(self, engine, conn, method, path, asked, body):
         request = asked['papayaloom-request-id']
-        self._sent.append((time.monotonic(), path, request))
+        parts = asked.get(_PARTS_HEADER.lower(), '')
+        self._sent.append((time.monotonic(), path + parts, request))
+        if POISON_PART in parts:
+            self.end()
+            return False
         if POISON in path:
             if self._runs_to:
                 script = fleets.stream(self._runs_to + 1, self._runs_to)
@@ -171,8 +179,12 @@
         assert fleets.until(_START_S, lambda: self._serves(gateway))
 
     def poisoned(self):
-        """Return when the poison request reached a replica."""
-        return [at for at, path, _ in self.sent if POISON in path]
+        """Return when a poison request or part reached a replica."""
+        return [
+            at
+            for at, path, _ in self.sent
+            if POISON in path or POISON_PART in path
+        ]
 
     def store_calls(self):
         """Return the paths of all calls to the store."""
@@ -195,11 +207,15 @@
         return ask(gateway, 'GET', '/calls/x').status == http.client.OK
 
 
-def ask(gateway, method, path, request='q-1'):
-    """Send a request; status 0 without a whole answer."""
+def ask(gateway, method, path, request='q-1', parts=''):
+    """Send a request; status 0 without a whole answer.
+
+    :param parts: names of the parts of its prompt.
+    """
     router = types.SimpleNamespace(addresses={'callers': gateway.front})
+    prompt = {_PARTS_HEADER: parts} if parts else {}
     try:
-        return fleets.ask(router, method, path, request=request)
+        return fleets.ask(router, method, path, request=request, **prompt)
     except (OSError, http.client.HTTPException):
         return types.SimpleNamespace(status=0, headers={})
 
@@ -208,13 +224,15 @@
     """Callers that send the same request again and again, at any gateway.
 
     :param pause_s: pause after each answer.
+    :param part: part of the prompts; the requests then differ in all else.
     """
 
-    def __init__(self, fleet, method, path, count=2, pause_s=0.15):
+    def __init__(self, fleet, method, path, count=2, pause_s=0.15, part=''):
         self.answers = []
         self._fleet = fleet
         self._asked = (method, path)
         self._pause_s = pause_s
+        self._part = part
         self._stopping = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, args=(number,), daemon=True)
@@ -235,6 +253,14 @@
             sent += 1
             gateway = rng.choice(self._fleet.gateways)
             request = f'{self._asked[1]}-{number}-{sent}'
-            answer = ask(gateway, *self._asked, request)
+            answer = self._ask(gateway, request)
             self.answers.append((time.monotonic(), answer))
             self._stopping.wait(self._pause_s)
+
+    def _ask(self, gateway, request):
+        method, path = self._asked
+        if not self._part:
+            return ask(gateway, method, path, request)
+        own = f'{abs(hash(request)):x}'
+        parts = f'{SHARED_PART}:10,{self._part}:5,{own}:3'
+        return ask(gateway, method, f'{path}?{own}', request, parts)
--- a/features/poison.feature
+++ b/features/poison.feature
@@ -93,3 +93,35 @@
       | hosts keep ends to themselves |
       | a replica ends once only      |
       | a whole answer clears nothing |
+
+  # Guards against BUDGET under a poison prompt part: every request with it had its own fingerprint.
+  Scenario Outline: A prompt part under which replicas ended is not sent on, although no two requests are alike
+    Given 3 gateway processes and 6 replicas that end under a poison request
+    When requests with a poison part come as "<method>" "<path>" for 8 s, beside sound ones with the other parts
+    Then later than 3 s after its third end it has reached at most 3 replicas
+    And later than 3 s after its last end all of its callers are refused as "not run", at least 20 times
+    And later than 1 s after the last end all sound requests are served, at least 10
+
+    Examples:
+      | method | path        |
+      | GET    | /calls/x    |
+      | POST   | /orders/x   |
+
+  Scenario Outline: What condemns a prompt part, and what does not
+    Given two hosts that know no suspect parts
+    When of requests with one prompt part <story>
+    Then another request with that part is <how> by both hosts
+
+    Examples:
+      | story                                                                             | how     |
+      | a ends                                                                            | sent    |
+      | a ends, 2 s pass, b ends                                                          | refused |
+      | a ends, b ends, c ends                                                            | sent    |
+      | a ends, b ends, 2 s pass, c ends                                                  | refused |
+      | a ends, 2 s pass, b runs one whole, 2 s pass, c ends                              | sent    |
+      | a ends, 2 s pass, b runs one whole, 30 s pass, c ends                             | sent    |
+      | a ends, 2 s pass, b runs one whole, 9 s pass, c ends, 2 s pass, d ends            | refused |
+      | a ends, 2 s pass, b runs an older one whole, 9 s pass, c ends                     | refused |
+      | a ends after the answer has begun, 2 s pass, b ends after the answer has begun    | sent    |
+      | a ends, 2 s pass, b ends, 598 s pass                                              | refused |
+      | a ends, 2 s pass, b ends, 601 s pass                                              | sent    |
--- a/features/steps/poison_decision_steps.py
+++ b/features/steps/poison_decision_steps.py
@@ -5,7 +5,14 @@
 
 from features.machines import deterministic, poison_machine
 from papayaloom import ids
-from papayaloom.process import dispatch, poison, quarantine, replicas
+from papayaloom.process import (
+    dispatch,
+    poison,
+    poison_evidence,
+    poison_detector,
+    quarantine,
+    replicas,
+)
 
 POOL = ids.ServiceId('pool')
 _HOW = {
@@ -40,14 +47,18 @@
     elif event == 'it ran whole':
         watched.record_complete_response(mark, context.now)
     elif event == 'another host condemned it':
-        watched.apply_report(poison.Report(condemned=(mark,)), context.now)
+        watched.apply_report(
+            poison_evidence.Report(condemned=(mark,)), context.now
+        )
     elif event == 'another host cleared it':
-        watched.apply_report(poison.Report(cleared=(mark,)), context.now)
+        watched.apply_report(
+            poison_evidence.Report(cleared=(mark,)), context.now
+        )
     else:
         name, _, when = event.split()
         own = ids.Fingerprint('alone') if when == 'alone' else mark
-        suspicion = poison.Suspicion(
-            own, poison.ReplicaStart(name), has_begun=when == 'late'
+        suspicion = poison_evidence.Suspicion(
+            own, poison_evidence.ReplicaStart(name), has_begun=when == 'late'
         )
         watched.record_termination(suspicion, context.now)
 
@@ -63,9 +74,9 @@
 )
 def remembered(context, step, count):
     for number in range(count):
-        suspicion = poison.Suspicion(
+        suspicion = poison_evidence.Suspicion(
             ids.Fingerprint(f'other-{number}'),
-            poison.ReplicaStart(f'start-{number // 100}'),
+            poison_evidence.ReplicaStart(f'start-{number // 100}'),
         )
         context.poison.record_termination(suspicion, context.now)
         if number % step == 0:
@@ -86,15 +97,22 @@
         )
         context.decisions.replicas.update(replica, 0)
     context.suspect_at = name
-    context.decisions.poison.record_start(ids.Fingerprint('first'), name)
+    first = poison_detector.Subject(ids.Fingerprint('first'))
+    context.decisions.poison.record_start(first, name)
     _suspect(context, 'first', 'i-7')
 
 
 def _suspect(context, mark, start):
-    suspicion = poison.Suspicion(
-        ids.Fingerprint(mark), poison.ReplicaStart(start)
+    suspicion = poison_evidence.Suspicion(
+        ids.Fingerprint(mark), poison_evidence.ReplicaStart(start)
     )
-    context.decisions.poison.record_termination(suspicion, 1.0)
+    attempt = poison_detector.Attempt(
+        poison_detector.Subject(suspicion.fingerprint),
+        replicas.ReplicaId('i-0'),
+        0.0,
+        suspicion,
+    )
+    context.decisions.poison.record_attempt(attempt, 1.0)
 
 
 @behave.then('{count:d} other suspects go to the other {others:d} replicas')
@@ -129,3 +147,68 @@
     machine = poison_machine.PoisonMachine
     put = poison_machine.FAULTS[fault]
     assert deterministic.finds(machine, steps, examples, put)
+
+
+PART = ids.Fingerprint('dead')
+
+
+@behave.given('two hosts that know no suspect parts')
+def no_suspect_parts(context):
+    context.hosts = [
+        poison_detector.PoisonDetector(poison.Cfg()) for _ in range(2)
+    ]
+    context.now = 1000.0
+    context.requests = 0
+
+
+@behave.when('of requests with one prompt part {story}')
+def part_story(context, story):
+    for event in story.split(', '):
+        _part_event(context, event)
+        # The answer to a report is a report, too.
+        for host, other in (*zip(context.hosts, context.hosts[::-1]),) * 2:
+            other.apply_report(host.take_report(), context.now)
+
+
+def _part_event(context, event):
+    wait = re.fullmatch(r'(\d+) s pass', event)
+    if wait:
+        context.now += float(wait[1])
+        for host in context.hosts:
+            host.tick(context.now)
+        return
+    context.requests += 1
+    subject = poison_detector.Subject(
+        ids.Fingerprint(f'request-{context.requests}'), (PART,)
+    )
+    name, _, how = event.partition(' ')
+    suspicion = None
+    if how.startswith('ends'):
+        suspicion = poison_evidence.Suspicion(
+            subject.fingerprint,
+            poison_evidence.ReplicaStart(name),
+            has_begun=how == 'ends after the answer has begun',
+        )
+    host = context.hosts[context.requests % 2]
+    # An older request began before all that has happened.
+    began_at = context.now - (60 if how == 'runs an older one whole' else 0.2)
+    host.record_attempt(
+        poison_detector.Attempt(
+            subject,
+            replicas.ReplicaId(name),
+            began_at,
+            suspicion,
+            is_success=suspicion is None,
+        ),
+        context.now,
+    )
+
+
+@behave.then('another request with that part is {how} by both hosts')
+def part_verdict(context, how):
+    other = poison_detector.Subject(ids.Fingerprint('other'), (PART,))
+    context.now += 1
+    for host in context.hosts:
+        host.tick(context.now)
+        condemned = host.condemned(other, context.now)
+        assert (condemned == PART) == (how == 'refused'), condemned
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -124,3 +124,30 @@
     logs = context.fleet.logs()
     assert 'poison: report not delivered' not in logs
     assert logs.count('dispatch: received a poison report') >= 10
+
+
+@behave.when(
+    'requests with a poison part come as "{method}" "{path}" for {seconds:g} s, beside sound ones with the other parts'
+)
+def poison_part_comes(context, method, path, seconds):
+    fleet = context.fleet
+    poisoned = mortal_fleet.Callers(
+        fleet, method, path, part=mortal_fleet.POISON_PART
+    )
+    sound = mortal_fleet.Callers(fleet, method, path, part='50')
+    time.sleep(seconds)
+    for callers in (poisoned, sound):
+        callers.stop()
+    context.answers = poisoned.answers
+    context.sound_answers = sound.answers
+
+
+@behave.then(
+    'later than {seconds:g} s after the last end all sound requests are served, at least {least:d}'
+)
+def sound_served(context, seconds, least):
+    last = max(context.fleet.poisoned())
+    late = [one for at, one in context.sound_answers if at > last + seconds]
+    assert len(late) >= least, f'{len(late)} answers'
+    for answer in late:
+        assert answer.status == http.client.OK, answer.content
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/process/dispatch.py
@@ -21,7 +21,8 @@
     pauses,
     placement_problems,
     poison,
-    quarantine,
+    poison_evidence,
+    poison_detector,
     replica_choice,
     replicas,
     request_counts,
@@ -57,6 +58,7 @@
     :param may_have_run: an earlier attempt may have run.
     :param objective_s: target time to the response or the first event.
     :param left_s: time left until the deadline.
+    :param parts: names of the prompt parts that other requests may share.
     """
 
     service: ids.ServiceId
@@ -68,6 +70,7 @@
     may_have_run: bool = False
     objective_s: float = 1
     left_s: float = 10
+    parts: tuple[ids.Fingerprint, ...] = ()
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
@@ -83,6 +86,7 @@
         did not run it.
     :param is_error_response: the replica answered with an error status, which
         may be the fault of the request.
+    :param parts: names of the prompt parts that other requests may share.
     """
 
     service: ids.ServiceId
@@ -90,11 +94,12 @@
     is_failure: bool | None = None
     is_unreachable: bool = False
     fingerprint: ids.Fingerprint = ids.Fingerprint('')
-    suspicion: poison.Suspicion | None = None
+    suspicion: poison_evidence.Suspicion | None = None
     is_success: bool = False
     organisation: str = ''
     duration_s: float | None = None
     is_error_response: bool = False
+    parts: tuple[ids.Fingerprint, ...] = ()
 
 
 PlacementResult = result.Result[replica_choice.Choice, errors.Problem]
@@ -109,7 +114,7 @@
         :param hosts: number of routers in the fleet.
         """
         self.replicas = replicas.Replicas(cfg.lapses)
-        self.poison = poison.PoisonTracker(cfg.blaming)
+        self.poison = poison_detector.PoisonDetector(cfg.blaming)
         self._cfg = cfg
         self._rng = rng
         self._load_estimates = load_estimates.LoadEstimates()
@@ -132,21 +137,20 @@
 
     def place(self, request: PlacementRequest, now: float) -> PlacementResult:
         """Choose the replica for an attempt and count the request there."""
-        treatment = self.poison.treatment(request.fingerprint, now)
-        if treatment is quarantine.Treatment.REFUSED:
+        subject = _subject(request)
+        condemned = self.poison.condemned(subject, now)
+        if condemned is not None:
             return result.Err(
-                placement_problems.condemned(
-                    request.fingerprint, self.poison.retry_s()
-                )
+                placement_problems.condemned(condemned, self.poison.retry_s())
             )
         ready = self.replicas.ready(request.service, now)
         if not ready:
             return result.Err(placement_problems.unavailable(request.service))
         ejections = self._ejection_of(request.service)
         ejections.update_upstreams(one.id for one in ready)
-        candidates = self._candidates(request, ready, now)
-        if treatment is quarantine.Treatment.ISOLATED:
-            candidates = self._isolated(candidates)
+        candidates = self.poison.isolated(
+            subject, self._candidates(request, ready, now), now
+        )
         if not candidates:
             return result.Err(
                 placement_problems.unavailable(
@@ -173,15 +177,7 @@
             self._service_times_s.add(
                 attempt_result.service, attempt_result.duration_s
             )
-        self.poison.record_attempt_end(
-            attempt_result.fingerprint, attempt_result.replica
-        )
-        if attempt_result.suspicion is not None:
-            self.poison.record_termination(attempt_result.suspicion, now)
-        if attempt_result.is_success:
-            self.poison.record_complete_response(
-                attempt_result.fingerprint, now
-            )
+        self.poison.record_attempt(_attempt(attempt_result, now), now)
         if attempt_result.is_unreachable:
             self._unreachable_until[attempt_result.replica] = (
                 now + _UNREACHABLE_HOLD_S
@@ -295,7 +291,7 @@
         if ejections.status(chosen, now) is ejection.Status.TRIAL:
             ejections.start_trial(chosen, now)
         self._load_estimates.record_start(chosen)
-        self.poison.record_start(request.fingerprint, chosen)
+        self.poison.record_start(_subject(request), chosen)
 
     def _record_health(
         self, attempt_result: AttemptResult, now: float
@@ -403,18 +399,6 @@
         ]
         return not_ejected or reachable or untried
 
-    def _isolated(
-        self, candidates: list[replicas.Replica]
-    ) -> list[replicas.Replica]:
-        """Return the replicas that run no suspect request, if there are any.
-
-        If a replica then crashes, only one suspect can be the cause.
-        """
-        suspect_replicas = self.poison.suspect_replicas()
-        return [
-            one for one in candidates if one.id not in suspect_replicas
-        ] or candidates
-
     def _pause_retry_s(
         self, ready: list[replicas.Replica], now: float
     ) -> float:
@@ -423,11 +407,9 @@
         return shortest_s * self._rng.uniform(1, 1 + _PAUSE_JITTER)
 
     def _ejection_of(self, service: ids.ServiceId) -> ejection.Ejection:
-        if service not in self._ejections:
-            self._ejections[service] = ejection.Ejection(
-                self._cfg.ejecting, self._rng
-            )
-        return self._ejections[service]
+        return self._ejections.setdefault(
+            service, ejection.Ejection(self._cfg.ejecting, self._rng)
+        )
 
 
 def _demand(request: PlacementRequest) -> load_shedding.Demand:
@@ -438,3 +420,21 @@
         request.left_s,
         request.may_have_run,
     )
+
+
+def _subject(
+    request: PlacementRequest | AttemptResult,
+) -> poison_detector.Subject:
+    return poison_detector.Subject(request.fingerprint, request.parts)
+
+
+def _attempt(
+    attempt_result: AttemptResult, now: float
+) -> poison_detector.Attempt:
+    return poison_detector.Attempt(
+        _subject(attempt_result),
+        attempt_result.replica,
+        now - (attempt_result.duration_s or 0),
+        attempt_result.suspicion,
+        attempt_result.is_success,
+    )
--- a/papayaloom/process/dispatch_actor.py
+++ b/papayaloom/process/dispatch_actor.py
@@ -7,7 +7,12 @@
 import structlog
 
 from papayaloom import clock
-from papayaloom.process import dispatch, poison, replicas, request_counts
+from papayaloom.process import (
+    dispatch,
+    poison_evidence,
+    replicas,
+    request_counts,
+)
 from papayaloom.request import header_dialect
 
 _log = structlog.get_logger('dispatch')
@@ -97,14 +102,15 @@
                 lambda dispatcher, now: dispatcher.paused(replica, pause_s, now)
             )
 
-    def handle_poison_report(self, report: poison.Report) -> None:
+    def handle_poison_report(self, report: poison_evidence.Report) -> None:
         """Apply a report of another host about poison requests."""
-
-        if report.condemned or report.cleared:
+        parts = report.parts or poison_evidence.Report()
+        if any((*report.condemned, *report.cleared, *parts.condemned)):
             _log.info(
                 'dispatch: received a poison report',
                 condemned=report.condemned,
                 cleared=report.cleared,
+                condemned_parts=parts.condemned,
             )
 
         def step(dispatcher: dispatch.Dispatcher, now: float) -> None:
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -23,7 +23,7 @@
     dispatch_actor,
     forward_attempt,
     forward_job,
-    poison,
+    poison_evidence,
     replica_choice,
     replicas,
 )
@@ -91,6 +91,7 @@
             may_have_run=job.progress.runs > 0,
             objective_s=job.route.objective_s,
             left_s=job.remaining_s(),
+            parts=forward_job.shared_parts(job),
         )
         return self._deps.dispatch_client.place(request)
 
@@ -186,6 +187,7 @@
                 organisation=job.organisation,
                 duration_s=duration_s,
                 is_error_response=bool(failure and failure.is_error_response),
+                parts=forward_job.shared_parts(job),
             )
         )
 
@@ -256,12 +258,12 @@
     job: forward_job.Job,
     replica: replicas.Replica,
     failure: forward_job.Failure | None,
-) -> poison.Suspicion | None:
+) -> poison_evidence.Suspicion | None:
     """Return a suspicion if the replica's process ended during the attempt."""
     if failure is None or not failure.process_ended:
         return None
-    start = poison.start_id(replica)
-    return poison.Suspicion(job.fingerprint, start, failure.has_begun)
+    start = poison_evidence.start_id(replica)
+    return poison_evidence.Suspicion(job.fingerprint, start, failure.has_begun)
 
 
 def _connection_failure(
--- a/papayaloom/process/internal_endpoints.py
+++ b/papayaloom/process/internal_endpoints.py
@@ -16,7 +16,7 @@
 from papayaloom.process import (
     address_choice,
     dispatch_actor,
-    poison,
+    poison_evidence,
     poison_reports,
     relay_watch,
     request_metrics,
@@ -123,7 +123,7 @@
 
     def _poison(self, inbound: ingress.InboundRequest) -> None:
         try:
-            report = poison.decode(inbound.body)
+            report = poison_evidence.decode(inbound.body)
         except errors.CodecError as exc:
             _log.warning('gateway: invalid poison report', reason=str(exc))
             inbound.answer(http.HTTPStatus.BAD_REQUEST, [], b'')
--- a/papayaloom/process/placement_problems.py
+++ b/papayaloom/process/placement_problems.py
@@ -20,7 +20,10 @@
 
 
 def condemned(fingerprint: ids.Fingerprint, retry_s: float) -> errors.Problem:
-    """Return the problem for a request that crashes replicas."""
+    """Return the problem for a request that crashes replicas.
+
+    :param fingerprint: of the request, or the name of a part of its prompt.
+    """
     return errors.Problem(
         'replicas ended while they ran this request',
         503,
--- a/papayaloom/process/poison.py
+++ b/papayaloom/process/poison.py
@@ -16,14 +16,12 @@
 
 import msgspec
 
-from papayaloom import errors, ids
-from papayaloom.process import quarantine, replicas
+from papayaloom import ids
+from papayaloom.process import poison_evidence, quarantine
 
 # Maximum number of suspects, and of known good requests, that a host tracks.
 _MAX_FINGERPRINTS = 4096
 
-ReplicaStart = typing.NewType('ReplicaStart', str)
-
 
 class Cfg(msgspec.Struct, frozen=True):
     """Conditions under which a request is condemned.
@@ -44,31 +42,9 @@
     sound_s: float = 60
     unrest_s: float = 10
     unrest_ends: int = 2
-
-
-class Suspicion(msgspec.Struct, frozen=True):
-    """Termination of a replica while it ran a request.
-
-    :param fingerprint: fingerprint of the request.
-    :param start: identifies one start of the replica.
-    :param has_begun: the response had gone beyond its first event.
-    """
-
-    fingerprint: ids.Fingerprint = msgspec.field(name='mark')
-    start: ReplicaStart
-    has_begun: bool = False
-
-
-class Report(msgspec.Struct, frozen=True):
-    """Report that hosts send each other.
-
-    :param condemned: requests that must not run again.
-    :param cleared: requests that ran to a complete response despite suspicions.
-    """
-
-    suspicions: tuple[Suspicion, ...] = ()
-    condemned: tuple[ids.Fingerprint, ...] = ()
-    cleared: tuple[ids.Fingerprint, ...] = ()
+    moment_s: float = 0
+    settle_s: float = 0
+    reports_each: bool = False
 
 
 class _Termination(msgspec.Struct, frozen=True):
@@ -94,7 +70,8 @@
     :param reported_at: time at which its condemnation was last reported.
     """
 
-    ends: dict[ReplicaStart, _Termination]
+    ends: dict[poison_evidence.ReplicaStart, _Termination]
+    depth: int = 0
     condemned_at: float | None = None
     reported_at: float = float('-inf')
 
@@ -104,12 +81,6 @@
         return max([self.condemned_at or float('-inf'), *ends])
 
 
-def start_id(replica: replicas.Replica) -> ReplicaStart:
-    """Return an identifier for one start of a replica."""
-    host, port = replica.address
-    return ReplicaStart(f'{replica.id}/{replica.born}/{host}:{port}')
-
-
 class PoisonTracker:
     """Suspect and condemned requests known to one host."""
 
@@ -122,11 +93,11 @@
         self._known_good: collections.OrderedDict[
             ids.Fingerprint, _Completion
         ] = collections.OrderedDict()
-        self._ends: dict[ReplicaStart, float] = {}
+        self._ends: dict[poison_evidence.ReplicaStart, float] = {}
         self._running: dict[str, collections.Counter[ids.Fingerprint]] = (
             collections.defaultdict(collections.Counter)
         )
-        self._pending: list[Report] = []
+        self._pending: list[poison_evidence.Report] = []
 
     def treatment(
         self, fingerprint: ids.Fingerprint, now: float
@@ -175,29 +146,43 @@
             self._running.pop(replica)
 
     def record_complete_response(
-        self, fingerprint: ids.Fingerprint, now: float
+        self,
+        fingerprint: ids.Fingerprint,
+        now: float,
+        began_at: float | None = None,
     ) -> None:
-        """Record that a request ran to a complete response."""
-        suspect = self._suspects.pop(fingerprint, None)
+        """Record that a request ran to a complete response.
+
+        :param began_at: terminations after this time are not disproved; None
+            if all are.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect and began_at is not None and suspect.newest() > began_at:
+            return
+        self._suspects.pop(fingerprint, None)
         # A single termination condemns on no host, so it is cleared only when
         # another suspicion arrives.
         is_reported = suspect is not None and (
-            len(suspect.ends) > 1 or suspect.condemned_at is not None
+            self._cfg.reports_each
+            or len(suspect.ends) > 1
+            or suspect.condemned_at is not None
         )
         if is_reported:
-            self._pending.append(Report(cleared=(fingerprint,)))
+            self._pending.append(poison_evidence.Report(cleared=(fingerprint,)))
         self._record_completion(fingerprint, _Completion(now, is_reported))
 
-    def record_termination(self, suspicion: Suspicion, now: float) -> None:
+    def record_termination(
+        self, suspicion: poison_evidence.Suspicion, now: float
+    ) -> None:
         """Record a termination while the replica ran a request of this host."""
         if not self._add_suspicion(suspicion, now):
             return
-        self._pending.append(Report((suspicion,)))
+        self._pending.append(poison_evidence.Report((suspicion,)))
         suspect = self._suspects[suspicion.fingerprint]
         if suspect.condemned_at is not None:
             self._report_condemned(suspicion.fingerprint, suspect, now)
 
-    def apply_report(self, report: Report, now: float) -> None:
+    def apply_report(self, report: poison_evidence.Report, now: float) -> None:
         """Apply a report of another host."""
         for suspicion in report.suspicions:
             if not self._add_suspicion(suspicion, now):
@@ -215,14 +200,14 @@
         """Whether there is a report for the other hosts."""
         return bool(self._pending)
 
-    def take_report(self) -> Report:
+    def take_report(self) -> poison_evidence.Report:
         """Return the pending report for the other hosts, and clear it."""
-        pending = join(self._pending)
+        pending = poison_evidence.join(self._pending)
         self._pending.clear()
         return pending
 
     def tick(self, now: float) -> None:
-        """Remove expired suspects and terminations."""
+        """Remove expired suspects and terminations; condemn what has settled."""
         for fingerprint, suspect in list(self._suspects.items()):
             if self._is_expired(suspect, now):
                 self._suspects.pop(fingerprint)
@@ -231,6 +216,8 @@
             for start, at in self._ends.items()
             if now - at < self._cfg.unrest_s
         }
+        if self._cfg.settle_s:
+            self._condemn_settled(now)
 
     def dump(self) -> dict[str, dict[str, object]]:
         """Return the suspects, condemned ones included."""
@@ -242,7 +229,9 @@
             for fingerprint, suspect in self._suspects.items()
         }
 
-    def _add_suspicion(self, suspicion: Suspicion, now: float) -> bool:
+    def _add_suspicion(
+        self, suspicion: poison_evidence.Suspicion, now: float
+    ) -> bool:
         """Record a suspicion and return whether it counts and is new."""
         self._ends.setdefault(suspicion.start, now)
         if self._is_known_good(suspicion.fingerprint, now):
@@ -252,10 +241,49 @@
         if suspicion.start in suspect.ends:
             return False
         suspect.ends[suspicion.start] = _Termination(now, suspicion.has_begun)
-        if suspect.condemned_at is None and self._is_poison(suspect, now):
+        suspect.depth = suspicion.depth
+        if self._cfg.settle_s or suspect.condemned_at is not None:
+            return True
+        if self._is_poison(suspect, suspect.ends, now):
             suspect.condemned_at = now
         return True
 
+    def _condemn_settled(self, now: float) -> None:
+        """Condemn suspects by what all hosts have reported meanwhile.
+
+        One by one, since a condemned suspect explains terminations.
+        """
+        while True:
+            found = {
+                fingerprint: suspect
+                for fingerprint, suspect in self._suspects.items()
+                if suspect.condemned_at is None
+                and self._is_poison(
+                    suspect, self._settled_ends(suspect, now), now
+                )
+            }
+            if not found:
+                return
+            fingerprint, suspect = max(found.items(), key=_evidence)
+            suspect.condemned_at = now
+            self._report_condemned(fingerprint, suspect, now)
+
+    def _settled_ends(
+        self, suspect: _Suspect, now: float
+    ) -> dict[poison_evidence.ReplicaStart, _Termination]:
+        """Return the terminations that no condemned suspect explains."""
+        explained = {
+            start
+            for other in self._suspects.values()
+            if other.condemned_at is not None
+            for start in other.ends
+        }
+        return {
+            start: end
+            for start, end in suspect.ends.items()
+            if start not in explained and now - end.at >= self._cfg.settle_s
+        }
+
     def _report_cleared(self, fingerprint: ids.Fingerprint, now: float) -> bool:
         """Report a complete response that the other hosts do not know of.
 
@@ -265,15 +293,26 @@
             return False
         if not self._known_good[fingerprint].is_reported:
             self._known_good[fingerprint].is_reported = True
-            self._pending.append(Report(cleared=(fingerprint,)))
+            self._pending.append(poison_evidence.Report(cleared=(fingerprint,)))
         return True
 
-    def _is_poison(self, suspect: _Suspect, now: float) -> bool:
+    def _is_poison(
+        self,
+        suspect: _Suspect,
+        ends: dict[poison_evidence.ReplicaStart, _Termination],
+        now: float,
+    ) -> bool:
+        """Tell whether terminations of a suspect condemn it.
+
+        :param ends: those that count.
+        """
         cfg = self._cfg
-        if len(suspect.ends) >= cfg.ends:
+        times = [one.at for one in ends.values()]
+        if _count_moments(times, cfg.moment_s) >= cfg.ends:
             return True
-        early = [one for one in suspect.ends.values() if not one.has_begun]
-        if len(early) < cfg.early_ends or self._ran_with_condemned(suspect):
+        early = [one.at for one in ends.values() if not one.has_begun]
+        moments = _count_moments(early, cfg.moment_s)
+        if moments < cfg.early_ends or self._ran_with_condemned(suspect):
             return False
         unrelated = [
             start
@@ -294,7 +333,7 @@
         self, fingerprint: ids.Fingerprint, suspect: _Suspect, now: float
     ) -> None:
         suspect.reported_at = now
-        self._pending.append(Report(condemned=(fingerprint,)))
+        self._pending.append(poison_evidence.Report(condemned=(fingerprint,)))
 
     def _is_known_good(self, fingerprint: ids.Fingerprint, now: float) -> bool:
         completion = self._known_good.get(fingerprint)
@@ -313,45 +352,25 @@
         return now - suspect.newest() >= self._cfg.memory_s
 
 
-def decode(content: bytes) -> Report:
-    """Decode a report.
-
-    :raises papayaloom.errors.CodecError: the report cannot be decoded.
-    """
-    try:
-        return msgspec.json.decode(content, type=Report)
-    except msgspec.MsgspecError as exc:
-        raise errors.CodecError(f'invalid poison report: {exc}') from exc
-
-
-def join(reports: typing.Iterable[Report]) -> Report:
-    """Merge several reports of one host."""
-    parts = list(reports)
-    cleared = tuple(
-        dict.fromkeys(
-            fingerprint for one in parts for fingerprint in one.cleared
-        )
-    )
-    return Report(
-        tuple(
-            suspicion
-            for one in parts
-            for suspicion in one.suspicions
-            if suspicion.fingerprint not in cleared
-        ),
-        tuple(
-            fingerprint
-            for one in parts
-            for fingerprint in one.condemned
-            if fingerprint not in cleared
-        ),
-        cleared,
-    )
-
-
 def _evict_oldest(
     entries: collections.OrderedDict[ids.Fingerprint, typing.Any],
 ) -> None:
     """Evict the oldest requests above the limit."""
     while len(entries) > _MAX_FINGERPRINTS:
         entries.popitem(last=False)
+
+
+def _evidence(suspect: tuple[ids.Fingerprint, _Suspect]) -> tuple[int, int]:
+    """Return what orders suspects; the highest is condemned first."""
+    return len(suspect[1].ends), suspect[1].depth
+
+
+def _count_moments(times: typing.Iterable[float], moment_s: float) -> int:
+    """Return the number of times, counting those close together once."""
+    count = 0
+    counted_at = float('-inf')
+    for at in sorted(times):
+        if at - counted_at >= moment_s:
+            count += 1
+            counted_at = at
+    return count
--- /dev/null
+++ b/papayaloom/process/poison_evidence.py
@@ -0,0 +1,82 @@
+"""Evidence on poison requests that hosts exchange."""
+
+import typing
+
+import msgspec
+
+from papayaloom import errors, ids
+from papayaloom.process import replicas
+
+ReplicaStart = typing.NewType('ReplicaStart', str)
+
+
+class Suspicion(msgspec.Struct, frozen=True):
+    """Termination of a replica while it ran a request.
+
+    :param fingerprint: fingerprint of the request.
+    :param start: identifies one start of the replica.
+    :param has_begun: the response had gone beyond its first event.
+    :param depth: position in the prompt, for a part of it; of several parts, the
+        last is in the fewest requests.
+    """
+
+    fingerprint: ids.Fingerprint = msgspec.field(name='mark')
+    start: ReplicaStart
+    has_begun: bool = False
+    depth: int = 0
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Report that hosts send each other.
+
+    :param condemned: requests that must not run again.
+    :param cleared: requests that ran to a complete response despite suspicions.
+    :param parts: the same for parts of prompts.
+    """
+
+    suspicions: tuple[Suspicion, ...] = ()
+    condemned: tuple[ids.Fingerprint, ...] = ()
+    cleared: tuple[ids.Fingerprint, ...] = ()
+    parts: 'Report | None' = None
+
+
+def start_id(replica: replicas.Replica) -> ReplicaStart:
+    """Return an identifier for one start of a replica."""
+    host, port = replica.address
+    return ReplicaStart(f'{replica.id}/{replica.born}/{host}:{port}')
+
+
+def decode(content: bytes) -> Report:
+    """Decode a report.
+
+    :raises papayaloom.errors.CodecError: the report cannot be decoded.
+    """
+    try:
+        return msgspec.json.decode(content, type=Report)
+    except msgspec.MsgspecError as exc:
+        raise errors.CodecError(f'invalid poison report: {exc}') from exc
+
+
+def join(reports: typing.Iterable[Report]) -> Report:
+    """Merge several reports of one host."""
+    parts = list(reports)
+    cleared = tuple(
+        dict.fromkeys(
+            fingerprint for one in parts for fingerprint in one.cleared
+        )
+    )
+    return Report(
+        tuple(
+            suspicion
+            for one in parts
+            for suspicion in one.suspicions
+            if suspicion.fingerprint not in cleared
+        ),
+        tuple(
+            fingerprint
+            for one in parts
+            for fingerprint in one.condemned
+            if fingerprint not in cleared
+        ),
+        cleared,
+    )
--- a/papayaloom/process/poison_reports.py
+++ b/papayaloom/process/poison_reports.py
@@ -21,7 +21,7 @@
     dispatch,
     dispatch_actor,
     fleet_hosts,
-    poison,
+    poison_evidence,
     store_backoff,
 )
 
@@ -115,14 +115,15 @@
                 # The thread must survive any error, to send later reports.
                 _log.exception('poison: cannot send a report')
 
-    def _send(self, report: poison.Report) -> None:
+    def _send(self, report: poison_evidence.Report) -> None:
         """Send a report, and retry reports that are not in the store yet."""
-        is_empty = report == poison.Report()
+        is_empty = report == poison_evidence.Report()
         content = msgspec.json.encode(report)
         if not is_empty:
             _log_report(report)
-            term_s = _CONDEMNED_TERM_S if report.condemned else _SUSPECT_TERM_S
-            self._unwritten[self._new_key()] = _Unwritten(content, term_s)
+            self._unwritten[self._new_key()] = _Unwritten(
+                content, _term_s(report)
+            )
         self._write()
         if not is_empty:
             self._send_to_hosts(content)
@@ -189,14 +190,28 @@
             )
 
 
-def _log_report(report: poison.Report) -> None:
+def _term_s(report: poison_evidence.Report) -> float:
+    """Return how long the store keeps a report."""
+    parts = report.parts or poison_evidence.Report()
+    if report.condemned or parts.condemned:
+        return _CONDEMNED_TERM_S
+    return _SUSPECT_TERM_S
+
+
+def _log_report(report: poison_evidence.Report) -> None:
+    parts = report.parts or poison_evidence.Report()
     _log.info(
         'poison: sending a report',
         suspicions=len(report.suspicions),
         condemned=report.condemned,
         cleared=report.cleared,
+        suspect_parts=[one.fingerprint for one in parts.suspicions],
+        condemned_parts=parts.condemned,
+        cleared_parts=parts.cleared,
     )
 
 
-def _take_report(dispatcher: dispatch.Dispatcher, _now: float) -> poison.Report:
+def _take_report(
+    dispatcher: dispatch.Dispatcher, _now: float
+) -> poison_evidence.Report:
     return dispatcher.poison.take_report()
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -19,7 +19,7 @@
     dispatch_actor,
     feed,
     fleet_hosts,
-    poison,
+    poison_evidence,
     replicas,
 )
 from papayaloom.request import header_dialect
@@ -324,7 +324,7 @@
 
     def _apply_poison(self, key: str, content: bytes) -> None:
         try:
-            report = poison.decode(content)
+            report = poison_evidence.decode(content)
         except errors.CodecError as exc:
             _log.error(
                 'view: cannot decode a poison report', key=key, reason=str(exc)
