Do not take half a head for an answer

Cause: http.client takes the end of the connection for the end of the headers; an answer without a length then has an empty body.

Change: the pools of the upstream ports use a response that checks that its head ended with an empty line (connection/complete_head.py). papayaloom-gateway reads with h11, which refuses such a head.

Result: calls.feature, 'A replica that stops in the middle of its head has not answered', failed before with (200, b''), passes now: 502, 'may have run'.

--- a/features/calls.feature
+++ b/features/calls.feature
@@ -10,6 +10,12 @@
     Then the caller gets status 409 and the verdict "may have run"
     And the replicas received 1 call
 
+  # Guards against an empty 200: half a head was read as a whole one.
+  Scenario: A replica that stops in the middle of its head has not answered
+    Given a replica that stops in the middle of its head
+    When a caller sends a call that must not be repeated
+    Then the caller gets status 502 and the verdict "may have run"
+
   Scenario: A repeat gets the recorded answer
     Given a replica that works
     When a caller sends a call that must not be repeated
--- a/features/steps/calls_steps.py
+++ b/features/steps/calls_steps.py
@@ -32,11 +32,17 @@
     return True
 
 
+def half_head(engine, conn, method, path, headers, body):
+    conn.sendall(b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n')
+    return False
+
+
 @behave.given('a replica that {behaviour}')
 def a_replica(context, behaviour):
     scripts = {
         'works': works,
         'breaks the connection after the request': lambda *_: False,
+        'stops in the middle of its head': half_head,
         'does not listen': None,
         'refuses with "not run"': fake_engine.problem('503 Busy', 'not run'),
     }
--- a/papayaloom/ports/http.py
+++ b/papayaloom/ports/http.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from papayaloom import errors
+from papayaloom.connection import complete_head
 from papayaloom.ports import engine
 
 # Longest accepted body of a response that is not streamed.
@@ -186,6 +187,9 @@
 
 
 def _pool(base: str) -> urllib3.HTTPConnectionPool:
-    return urllib3.connection_from_url(
+    pool = urllib3.connection_from_url(
         base, maxsize=MAX_IDLE_CONNECTIONS, retries=False
     )
+    if pool.scheme == 'http':
+        pool.ConnectionCls = complete_head.Connection
+    return pool
