Tests for the reports of other operators on the forwarding path

Cause: three reports in the issue: a refusal written once more on a kept connection, the error of the next replica in a stream that has begun, half a head taken for a 200.

Change: scenarios for each in upstream_trouble.feature.

A response on a kept connection must name its request, calls that must not run twice take a new connection, a stream that has begun ends without its end mark, and h11 refuses half a head.

--- a/features/hostile_replica.py
+++ b/features/hostile_replica.py
@@ -173,7 +173,38 @@
     return script
 
 
+def half_head(_, conn, method, path, asked, body):
+    """Stop in the middle of the head of the answer, behind a header line."""
+    own = fleets.head(asked['papayaloom-request-id'], 10)
+    conn.sendall(own.partition(b'Content-Length')[0])
+    return False
+
+
+def refusal_repeated(engine, conn, method, path, asked, body):
+    """Refuse, and later write that refusal once more on the connection."""
+    request = asked['papayaloom-request-id']
+    earlier = getattr(engine, 'refusals', {}).get(conn)
+    if earlier is not None:
+        conn.sendall(earlier)
+        own = fleets.head(request, len(request)) + request.encode()
+        conn.sendall(own)
+        return True
+    extra = {'Papayaloom-Not-Executed': '1'}
+    engine.refusals = {
+        conn: fleets.head(request, 4, '503 Full', **extra) + b'full'
+    }
+    conn.sendall(engine.refusals[conn])
+    return True
+
+
 ODD = {
     script.__name__: script
-    for script in (continued, longer, doubled_nameless, leaving)
+    for script in (
+        continued,
+        longer,
+        doubled_nameless,
+        leaving,
+        half_head,
+        refusal_repeated,
+    )
 }
--- a/features/steps/upstream_trouble_steps.py
+++ b/features/steps/upstream_trouble_steps.py
@@ -102,3 +102,25 @@
         own = (http.client.OK, f'q-{number}'.encode())
         found = (answer.status, answer.content)
         assert found == own or answer.status == status, found
+
+
+@behave.then(
+    'none who was refused had run, and each other caller gets its own body or {status:d}'
+)
+def refused_truly(context, status):
+    for number, answer in enumerate(context.answers):
+        request = f'q-{number}'
+        ran = [
+            one
+            for engine in context.fleet.replicas
+            for one in engine.requests
+            if one[2]['papayaloom-request-id'] == request
+        ]
+        if answer.status == http.client.SERVICE_UNAVAILABLE:
+            # Refused by the replica itself, on a connection of its own.
+            assert len(ran) <= 1, (request, ran)
+            continue
+        own = (http.client.OK, request.encode())
+        found = (answer.status, answer.content)
+        assert found == own or answer.status == status, found
+        assert len(ran) == 1, (request, ran)
--- a/features/upstream_trouble.feature
+++ b/features/upstream_trouble.feature
@@ -94,3 +94,35 @@
     Given a forwarding router with a replica that breaks inside event 3
     When a caller of HTTP/1.0 asks for the stream "/plain/x"
     Then its connection is reset
+
+  # Guards against REFUSED and TWICE: an earlier refusal on a kept connection is not the answer to a later request.
+  Scenario Outline: A refusal that is written once more does not refuse the next request
+    Given a forwarding router with a replica in trouble that answers "refusal_repeated"
+    When over and over a caller sends "<method>" to "<path>" 6 times
+    Then none who was refused had run, and each other caller gets its own body or 502
+
+    Examples:
+      | method | path      |
+      | GET    | /calls/x  |
+      | POST   | /orders/x |
+
+  # Guards against ORDER and MIXED: the error of the next replica inside a stream that has begun.
+  Scenario Outline: The error of the next replica does not come into a stream that has begun
+    Given a forwarding router with a replica that answers "<next>"
+    And before it a replica that breaks inside event 3
+    When a caller asks for the stream "/resumable/x"
+    Then the caller gets the events 1 to 2 once each, and the answer is incomplete
+
+    Examples:
+      | next   |
+      | fail   |
+      | refuse |
+      | whole  |
+
+  # Guards against MIXED and ORDER: half a head of a 200 is no answer.
+  Scenario: A replica that stops in the middle of its head has not answered
+    Given a forwarding router with a replica in trouble that answers "half_head"
+    When a caller sends "POST" to "/orders/x"
+    Then the caller gets 502 and the replicas got 1 requests
+    When a caller asks for the stream "/plain/x"
+    Then the caller gets no complete stream
