Keep what a replica has just reported until sums are newer

Cause: each sum over the fleet replaced the loads that replicas had reported with their answers, whatever the age of either.

Change: a sum replaces a report only if it is newer.

Result: spread.feature, 'Old sums do not replace what a replica has just reported', fails before and passes.

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -115,3 +115,10 @@
     Given a fleet of 80 routers, each with 30 replicas
     When they hear old sums, while 206 streams a second of 0.9 s arrive for 11 s, 10 in 100 of them with one prefix, from 6 s to 10 s 8 times as many
     Then from 3 s on, in no 5 s do 20 requests and more than 3 in 100 reach a replica above twice the mean load and 3 more
+
+  # Guards against LIMIT at the onset of a burst: old sums took the place of a new report.
+  Scenario: Old sums do not replace what a replica has just reported
+    Given a fleet of 80 routers, each with 30 replicas
+    When the first replica for "care-7" reports 30, and sums follow that have 4 at each
+    And a request with the prefix "care-7" is placed
+    Then it goes to the second replica in rank, which copies from the first
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -6,6 +6,7 @@
 from features import placement_model
 from papayaloom import hashing, ids
 from papayaloom.process import budgets, dispatch, replicas, request_counts
+from papayaloom.request import header_dialect
 
 SERVICE = ids.ServiceId('pool')
 
@@ -232,6 +233,21 @@
     )
 
 
+@behave.when(
+    'the first replica for "{prefix}" reports {high:d}, and sums follow that have {low:d} at each'
+)
+def report_before_sums(context, prefix, high, low):
+    context.order = ranked(context, prefix)
+    router = context.routers[0]
+    report = header_dialect.Load(high, 0, 64)
+    router.record_load(replicas.ReplicaId(context.order[0]), report, 0.0)
+    context.now = 0.1
+    router.update_fleet_counts(
+        request_counts.RequestCounts(dict.fromkeys(context.names, low)),
+        context.now,
+    )
+
+
 @behave.then(
     'it goes to the second replica in rank, which copies from the first'
 )
--- a/papayaloom/process/load_estimates.py
+++ b/papayaloom/process/load_estimates.py
@@ -91,8 +91,15 @@
     def record_fleet_totals(
         self, replicas: typing.Iterable[str], totals: dict[str, int], now: float
     ) -> None:
-        """Record the requests of the whole fleet at some replicas."""
+        """Record the requests of the whole fleet at some replicas.
+
+        :param now: time for which the totals are valid; a replica whose own
+            report is newer keeps it.
+        """
         for replica in replicas:
+            report = self._reports.get(replica)
+            if report is not None and report.reported_at > now:
+                continue
             others = max(totals.get(replica, 0) - self._own.get(replica, 0), 0)
             self._reports[replica] = ReportedLoad(now, others)
 
