--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -8,6 +8,14 @@
 _ENDS = 3
 
 
+def late_answers(context, answers, seconds, least):
+    """Return the answers from some time after the last end on."""
+    last = max(context.fleet.poisoned())
+    late = [one for at, one in answers if at > last + seconds]
+    assert len(late) >= least, f'{len(late)} answers'
+    return late
+
+
 @behave.given(
     '{gateways:d} gateway processes and {replicas:d} replicas that end under a poison request'
 )
@@ -42,10 +50,7 @@
     'later than {seconds:g} s after its last end all of its callers are refused as "not run", at least {least:d} times'
 )
 def is_refused(context, seconds, least):
-    last = max(context.fleet.poisoned())
-    late = [one for at, one in context.answers if at > last + seconds]
-    assert len(late) >= least, f'{len(late)} answers'
-    for answer in late:
+    for answer in late_answers(context, context.answers, seconds, least):
         assert answer.status == http.client.SERVICE_UNAVAILABLE, answer.status
         assert float(answer.headers['Retry-After']) > 0
 
@@ -146,8 +151,5 @@
     'later than {seconds:g} s after the last end all sound requests are served, at least {least:d}'
 )
 def sound_served(context, seconds, least):
-    last = max(context.fleet.poisoned())
-    late = [one for at, one in context.sound_answers if at > last + seconds]
-    assert len(late) >= least, f'{len(late)} answers'
-    for answer in late:
+    for answer in late_answers(context, context.sound_answers, seconds, least):
         assert answer.status == http.client.OK, answer.content
