--- a/review/standins.py
+++ b/review/standins.py
@@ -27,6 +27,7 @@
 TENANT = 'hule930'
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 _START_S = 40
+_HEARTBEAT_S = 1.2
 
 
 class Record:
@@ -163,6 +164,7 @@
         self._next_lease = 1
         super().__init__(ip)
         threading.Thread(target=self._expire, daemon=True).start()
+        threading.Thread(target=self._beat, daemon=True).start()
 
     def write(self, key, document):
         """Write as the operator or a replica does; return when it is acked."""
@@ -173,10 +175,6 @@
         with self._changed:
             self._remove(key)
 
-    def keys(self, prefix):
-        with self._changed:
-            return [key for key in self._items if key.startswith(prefix)]
-
     def _put(self, key, value, lease):
         self._revision += 1
         known = self._items.get(key)
@@ -215,6 +213,17 @@
                     if until < now:
                         self._end(lease)
 
+    def _beat(self):
+        """Write the replicas' entries again, as they do every heartbeatMs."""
+        while not self.is_closed:
+            time.sleep(_HEARTBEAT_S)
+            with self._changed:
+                for key, item in list(self._items.items()):
+                    if key.startswith('servers/'):
+                        document = json.loads(base64.b64decode(item['value']))
+                        document['seq'] += 1
+                        self._put(key, json.dumps(document).encode(), 0)
+
     def answer(self, sock, message):
         method, target, _ = message.first.split(' ', 2)
         parts = urllib.parse.urlsplit(target)
