--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,13 +11,16 @@
 
 import standins  # noqa: E402
 
-STREAMS = 240
+STREAMS = 480
+STREAMS_PER_S = 90
 EVENTS = 42
 DEADLINE_MS = 12000
-# garble of the site file: share 0.35 of the replicas, x 0.05 of their answers.
+# garble of the site file: share 0.35 of the replicas, x 0.02 of their answers,
+# for 5.5 s.
 REPLICAS = 12
 GARBLING = 4
-SPOILED_SHARE = 0.05
+ANSWERS_A_SPOILED_ONE = 50
+GARBLING_S = 5.5
 # A model server makes some events with each step, and writes them together.
 EVENTS_A_WRITE = 6
 PAUSE_S = 0.03
@@ -26,25 +29,42 @@
 SUBJECTS = 63
 
 
+class Garbling:
+    """Chooses which answers the garbling replicas spoil."""
+
+    def __init__(self):
+        self.spoiled = 0
+        self._answers = 0
+        self._lock = threading.Lock()
+        self._until = float('-inf')
+
+    def start(self):
+        self._until = time.monotonic() + GARBLING_S
+
+    def spoils(self):
+        """Count an answer of these replicas; tell whether it is spoiled."""
+        with self._lock:
+            if time.monotonic() > self._until:
+                return False
+            self._answers += 1
+            is_spoiled = self._answers % ANSWERS_A_SPOILED_ONE == 0
+            self.spoiled += is_spoiled
+            return is_spoiled
+
+
 class Replica(standins.Server):
     """Streams events; resumes behind ``Last-Event-Id``."""
 
-    def __init__(self, ip, name, record, is_garbling):
+    def __init__(self, ip, name, record, garbling):
         self.name = name
         self._record = record
-        self._is_garbling = is_garbling
-        self._answers = 0
+        self._garbling = garbling
         super().__init__(ip)
 
     def answer(self, sock, message):
         number = message.get('papayaloom-request-id')
         first = int(message.get('last-event-id', '0')) + 1
-        self._answers += 1
-        is_spoiled = (
-            self._is_garbling
-            and first == 1
-            and self._answers % round(1 / SPOILED_SHARE) == 1
-        )
+        is_spoiled = self._garbling is not None and self._garbling.spoils()
         self._record(
             f'{self.name} runs {number} from event {first}'
             f'{", and spoils one event" if is_spoiled else ""}'
@@ -114,7 +134,7 @@
 
 
 def case(world):
-    missed = []
+    missed, garbling = [], Garbling()
     world.store.write(
         'op/config',
         standins.desired(
@@ -140,22 +160,30 @@
         name = f'i-{number}'
         is_garbling = standins.TROUBLE and number < GARBLING
         replica = world.add(
-            Replica(world.ip(), name, world.record, is_garbling)
+            Replica(
+                world.ip(),
+                name,
+                world.record,
+                garbling if is_garbling else None,
+            )
         )
         world.store.write(
             f'servers/{name}', standins.entry('pool', replica.address, 64)
         )
     world.add_machines(2)
     time.sleep(3)
+    garbling.start()
     threads = []
     for number in range(STREAMS):
         front = world.machines[number % 2].front
         thread = threading.Thread(target=consume, args=(world, front, missed))
         thread.start()
         threads.append(thread)
-        time.sleep(0.022)
+        time.sleep(1 / STREAMS_PER_S)
     for thread in threads:
         thread.join()
+    if standins.TROUBLE and not garbling.spoiled:
+        raise standins.CannotRunError('no answer was spoiled')
     for number, lacking in missed:
         world.record(f'ORDER: {number} lacks {lacking}')
     # The spoiled event itself is the replica's; those beside it are not.
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
+# -B: no folder for bytecode beside the cases.
+exec python3 -B "$(dirname "$0")/case.py"
