Routing: decisions of the forwarding router in a package of their own

Change: moves and renames of imports only. The decisions about whether, where and when a request goes are papayaloom/routing, with load, health, limits, overload and poison below it; actors, store and front stay in process.

--- a/features/machines/admission.py
+++ b/features/machines/admission.py
@@ -12,7 +12,7 @@
 
 from features.machines import deterministic
 from papayaloom import ids, messages
-from papayaloom.process import admission, promises, quotas, grants_in_use
+from papayaloom.process import admission, grants_in_use, promises, quotas
 
 CAP = 4
 TICK_S = 0.25
--- a/features/machines/own_word_machine.py
+++ b/features/machines/own_word_machine.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 
 from papayaloom import ids
-from papayaloom.process import dispatch, dispatch_messages, pauses, replicas
+from papayaloom.routing import dispatch, dispatch_messages, replicas
+from papayaloom.routing.health import pauses
 
 POOL = ids.ServiceId('pool')
 NAMES = ('a', 'b', 'c')
--- a/features/machines/poison_machine.py
+++ b/features/machines/poison_machine.py
@@ -11,7 +11,9 @@
 from hypothesis import strategies as st
 
 from papayaloom import ids
-from papayaloom.process import poison, poison_evidence, quarantine, replicas
+from papayaloom.process import quarantine
+from papayaloom.routing import replicas
+from papayaloom.routing.poison import poison, poison_evidence
 
 HOSTS = (0, 1, 2)
 NAMES = ('a', 'b')
--- a/features/placement_model.py
+++ b/features/placement_model.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from papayaloom.process import dispatch_messages, replica_choice, request_counts
+from papayaloom.routing import dispatch_messages, replica_choice
+from papayaloom.routing.load import request_counts
 from papayaloom.request import header_dialect
 
 BOUND = replica_choice.Cfg()
--- a/features/relay_fleet.py
+++ b/features/relay_fleet.py
@@ -10,13 +10,9 @@
 from papayaloom import clock
 from papayaloom.connection import caller_connection, ingress
 from papayaloom.ports import kv
-from papayaloom.process import (
-    fleet_hosts,
-    rate_limits,
-    relay_plan,
-    relay_watch,
-    request_counts,
-)
+from papayaloom.process import fleet_hosts, relay_plan, relay_watch
+from papayaloom.routing.limits import rate_limits
+from papayaloom.routing.load import request_counts
 from papayaloom.standins import kv as memory_kv
 
 # Hosts that do not run refuse connections.
--- a/features/steps/actor_steps.py
+++ b/features/steps/actor_steps.py
@@ -9,10 +9,10 @@
     admission_client,
     core,
     current_settings,
-    dispatch,
     dispatch_actor,
     liveness,
 )
+from papayaloom.routing import dispatch
 
 
 class _Silent:
--- a/features/steps/failing_steps.py
+++ b/features/steps/failing_steps.py
@@ -1,7 +1,8 @@
 import behave
 
 from papayaloom import ids
-from papayaloom.process import dispatch_messages, ejection, replicas
+from papayaloom.routing import dispatch_messages, replicas
+from papayaloom.routing.health import ejection
 
 SERVICE = ids.ServiceId('pool')
 
--- a/features/steps/feed_steps.py
+++ b/features/steps/feed_steps.py
@@ -9,13 +9,8 @@
 from papayaloom import clock, errors
 from papayaloom.platform import main, store
 from papayaloom.ports import kv
-from papayaloom.process import (
-    dispatch,
-    dispatch_actor,
-    feed,
-    fleet_hosts,
-    store_view,
-)
+from papayaloom.process import dispatch_actor, feed, fleet_hosts, store_view
+from papayaloom.routing import dispatch
 
 
 class HangingStore:
--- a/features/steps/lapses_steps.py
+++ b/features/steps/lapses_steps.py
@@ -3,12 +3,8 @@
 import behave
 
 from papayaloom import ids
-from papayaloom.process import (
-    dispatch,
-    dispatch_messages,
-    fleet_hosts,
-    replicas,
-)
+from papayaloom.process import fleet_hosts
+from papayaloom.routing import dispatch, dispatch_messages, replicas
 
 NAME = replicas.ReplicaId('i-1')
 LISTED = replicas.Replica(
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -3,13 +3,9 @@
 import behave
 
 from papayaloom import ids, messages
-from papayaloom.process import (
-    budgets,
-    ejection,
-    limits,
-    prefixes,
-    quarantine,
-)
+from papayaloom.process import limits, prefixes, quarantine
+from papayaloom.routing.health import ejection
+from papayaloom.routing.overload import budgets
 
 ORG = ids.OrgId('org')
 ROUTERS = [ids.RouterId(f'router-{number}') for number in range(6)]
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -10,12 +10,8 @@
 from papayaloom import clock, errors
 from papayaloom.platform import headers
 from papayaloom.ports import kv
-from papayaloom.process import (
-    feed,
-    fleet_hosts,
-    poison_evidence,
-    relay,
-)
+from papayaloom.process import feed, fleet_hosts, relay
+from papayaloom.routing.poison import poison_evidence
 from papayaloom.standins import kv as memory_kv
 
 _REPLICA = (
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -5,15 +5,10 @@
 
 from features import placement_model
 from papayaloom import errors, ids
-from papayaloom.process import (
-    dispatch,
-    dispatch_messages,
-    forward_job,
-    load_estimates,
-    load_shedding,
-    replicas,
-    retry_delays,
-)
+from papayaloom.process import forward_job
+from papayaloom.routing import dispatch, dispatch_messages, replicas
+from papayaloom.routing.load import load_estimates
+from papayaloom.routing.overload import load_shedding, retry_delays
 from papayaloom.request import forwarding, header_dialect
 
 SERVICE = ids.ServiceId('pool')
--- a/features/steps/own_word_steps.py
+++ b/features/steps/own_word_steps.py
@@ -8,7 +8,7 @@
 from features.machines import deterministic, own_word_machine
 from papayaloom import errors, ids
 from papayaloom.platform import headers
-from papayaloom.process import dispatch, dispatch_messages, replicas
+from papayaloom.routing import dispatch, dispatch_messages, replicas
 
 POOL = ids.ServiceId('pool')
 
--- a/features/steps/poison_decision_steps.py
+++ b/features/steps/poison_decision_steps.py
@@ -5,15 +5,9 @@
 
 from features.machines import deterministic, poison_machine
 from papayaloom import ids
-from papayaloom.process import (
-    dispatch,
-    dispatch_messages,
-    poison,
-    poison_evidence,
-    poison_detector,
-    quarantine,
-    replicas,
-)
+from papayaloom.process import quarantine
+from papayaloom.routing import dispatch, dispatch_messages, replicas
+from papayaloom.routing.poison import poison, poison_detector, poison_evidence
 
 POOL = ids.ServiceId('pool')
 _HOW = {
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -4,7 +4,8 @@
 from features import placement_model
 from features.steps import spread_steps
 from papayaloom.platform import headers
-from papayaloom.process import rate_limits, replicas
+from papayaloom.routing import replicas
+from papayaloom.routing.limits import rate_limits
 
 _FACTOR = 1.5
 _SLACK = 5
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,7 +5,8 @@
 
 from features import relay_fleet
 from papayaloom.ports import kv
-from papayaloom.process import relay, request_counts
+from papayaloom.process import relay
+from papayaloom.routing.load import request_counts
 
 
 def event(text, revision):
--- a/features/steps/relay_watch_steps.py
+++ b/features/steps/relay_watch_steps.py
@@ -6,12 +6,9 @@
 from features import relay_fleet
 from papayaloom import errors, ids
 from papayaloom.ports import kv
-from papayaloom.process import (
-    fleet_hosts,
-    relay_plan,
-    replicas,
-    request_counts,
-)
+from papayaloom.process import fleet_hosts, relay_plan
+from papayaloom.routing import replicas
+from papayaloom.routing.load import request_counts
 
 
 def fleet(context, count, running):
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -9,10 +9,10 @@
     fleet_hosts,
     presence,
     relay,
-    request_counts,
     silent_hosts,
     store_backoff,
 )
+from papayaloom.routing.load import request_counts
 from papayaloom.standins import kv as memory_kv
 
 
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -5,13 +5,9 @@
 
 from features import placement_model
 from papayaloom import hashing, ids
-from papayaloom.process import (
-    budgets,
-    dispatch,
-    dispatch_messages,
-    replicas,
-    request_counts,
-)
+from papayaloom.routing import dispatch, dispatch_messages, replicas
+from papayaloom.routing.load import request_counts
+from papayaloom.routing.overload import budgets
 from papayaloom.request import header_dialect
 
 SERVICE = ids.ServiceId('pool')
--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -10,17 +10,15 @@
 from papayaloom.platform import store
 from papayaloom.ports import kv
 from papayaloom.process import (
-    dispatch,
     dispatch_actor,
     feed,
     fleet_hosts,
-    poison_detector,
-    poison_evidence,
     poison_reports,
     presence,
     relay_plan,
-    replicas,
 )
+from papayaloom.routing import dispatch, replicas
+from papayaloom.routing.poison import poison_detector, poison_evidence
 
 _STEPS = 4
 
--- a/papayaloom/bench/limits.py
+++ b/papayaloom/bench/limits.py
@@ -16,13 +16,13 @@
 from papayaloom.bench import measurement
 from papayaloom.process import (
     admission,
-    budgets,
-    ejection,
     engine_search,
     limits,
     placement,
     quarantine,
 )
+from papayaloom.routing.health import ejection
+from papayaloom.routing.overload import budgets
 
 _DAY_S = 86400
 _ORG = ids.OrgId('org')
--- a/papayaloom/bench/placement_policies.py
+++ b/papayaloom/bench/placement_policies.py
@@ -15,9 +15,9 @@
 from papayaloom.process import (
     admission,
     engine_search,
+    grants_in_use,
     placement,
     prefixes,
-    grants_in_use,
 )
 
 MODEL = ids.ModelId('model')
--- a/papayaloom/platform/documents.py
+++ b/papayaloom/platform/documents.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from papayaloom import decoding, errors, ids
-from papayaloom.process import replicas, store_view
+from papayaloom.process import store_view
+from papayaloom.routing import replicas
 from papayaloom.version import routes
 
 KEYS = store_view.Keys(
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -6,14 +6,9 @@
 
 from papayaloom import errors
 from papayaloom.platform import documents
-from papayaloom.process import (
-    budgets,
-    dispatch,
-    fleet_hosts,
-    gateway_cfg,
-    gateway_stop,
-    replica_choice,
-)
+from papayaloom.process import fleet_hosts, gateway_cfg, gateway_stop
+from papayaloom.routing import dispatch, replica_choice
+from papayaloom.routing.overload import budgets
 
 PATH_VARIABLE = 'PAPAYALOOM_SETTINGS'
 METRICS_PORT = 9464
--- a/papayaloom/process/admission.py
+++ b/papayaloom/process/admission.py
@@ -11,14 +11,7 @@
 
 from papayaloom import ids, messages
 from papayaloom.process import load_reports
-from papayaloom.process import (
-    engines,
-    holds,
-    promises,
-    queueing,
-    ranks,
-    quotas,
-)
+from papayaloom.process import engines, holds, promises, queueing, quotas, ranks
 
 _QUEUE_SETTING = 'placement.queue_length'
 _MAX_RETRY_AFTER_S = 60
--- a/papayaloom/process/chats.py
+++ b/papayaloom/process/chats.py
@@ -13,13 +13,13 @@
     admission_client,
     chat_messages,
     configuration,
-    ejection,
-    placement,
     grants_in_use,
+    placement,
     shares,
     suspects,
     targets,
 )
+from papayaloom.routing.health import ejection
 from papayaloom.request import core_api
 from papayaloom.version import snapshot
 
--- a/papayaloom/process/configuration.py
+++ b/papayaloom/process/configuration.py
@@ -10,10 +10,8 @@
 from papayaloom.process import (
     addresses,
     admission,
-    budgets,
     dissemination,
     drain,
-    ejection,
     engines,
     ledger,
     ledger_writer,
@@ -25,9 +23,11 @@
     promises,
     quarantine,
     queueing,
-    ranks,
     quotas,
+    ranks,
 )
+from papayaloom.routing.health import ejection
+from papayaloom.routing.overload import budgets
 from papayaloom.process import load_reports
 from papayaloom.request import prompt
 from papayaloom.version import schema, snapshot
--- a/papayaloom/process/dispatch_actor.py
+++ b/papayaloom/process/dispatch_actor.py
@@ -7,14 +7,10 @@
 import structlog
 
 from papayaloom import clock
-from papayaloom.process import (
-    dispatch,
-    dispatch_messages,
-    poison_evidence,
-    rate_limits,
-    replicas,
-    request_counts,
-)
+from papayaloom.routing import dispatch, dispatch_messages, replicas
+from papayaloom.routing.limits import rate_limits
+from papayaloom.routing.load import request_counts
+from papayaloom.routing.poison import poison_evidence
 from papayaloom.request import header_dialect
 
 _log = structlog.get_logger('dispatch')
--- a/papayaloom/process/fleet_hosts.py
+++ b/papayaloom/process/fleet_hosts.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from papayaloom.process import lapses
+from papayaloom.routing.health import lapses
 
 # In fleets of up to this many hosts, every host watches the store directly.
 MAX_DIRECT_WATCHERS = 12
--- a/papayaloom/process/forward_attempt.py
+++ b/papayaloom/process/forward_attempt.py
@@ -14,7 +14,8 @@
     response_limits,
     upstream_connection,
 )
-from papayaloom.process import dispatch_actor, forward_job, replica_choice
+from papayaloom.process import dispatch_actor, forward_job
+from papayaloom.routing import replica_choice
 from papayaloom.request import forwarding, header_dialect
 
 _SERVER_ERROR = 500
--- a/papayaloom/process/forward_job.py
+++ b/papayaloom/process/forward_job.py
@@ -7,7 +7,7 @@
 
 from papayaloom import errors, ids
 from papayaloom.connection import buffer_budget, ingress, upstream_connection
-from papayaloom.process import replicas
+from papayaloom.routing import replicas
 from papayaloom.request import event_joiner, forwarding, header_dialect
 from papayaloom.version import routes
 
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -1,7 +1,7 @@
 """Forwards a request to replicas, with retries, and returns the response.
 
 Runs on a worker thread of the ingress. :mod:`papayaloom.request.forwarding`
-decides on retries, and :mod:`papayaloom.process.dispatch` chooses the replicas.
+decides on retries, and :mod:`papayaloom.routing.dispatch` chooses the replicas.
 """
 
 import time
@@ -20,16 +20,14 @@
     upstream_connection,
     wasted_work,
 )
-from papayaloom.process import (
+from papayaloom.process import dispatch_actor, forward_attempt, forward_job
+from papayaloom.routing import (
     dispatch,
     dispatch_messages,
-    dispatch_actor,
-    forward_attempt,
-    forward_job,
-    poison_evidence,
     replica_choice,
     replicas,
 )
+from papayaloom.routing.poison import poison_evidence
 from papayaloom.request import forwarding, header_dialect
 
 _log = structlog.get_logger('forward')
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -18,7 +18,6 @@
 )
 from papayaloom.ports import kv
 from papayaloom.process import (
-    dispatch,
     dispatch_actor,
     feed,
     fleet_status,
@@ -32,11 +31,12 @@
     presence,
     relay_watch,
     request_metrics,
-    retry_delays,
     snapshot_client,
     store_view,
     timers,
 )
+from papayaloom.routing import dispatch
+from papayaloom.routing.overload import retry_delays
 from papayaloom.version import routes
 
 _log = structlog.get_logger('gateway')
--- a/papayaloom/process/gateway_cfg.py
+++ b/papayaloom/process/gateway_cfg.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from papayaloom.process import dispatch, fleet_hosts, gateway_stop
+from papayaloom.process import fleet_hosts, gateway_stop
+from papayaloom.routing import dispatch
 
 
 class Addresses(msgspec.Struct, frozen=True):
--- a/papayaloom/process/internal_endpoints.py
+++ b/papayaloom/process/internal_endpoints.py
@@ -16,13 +16,13 @@
 from papayaloom.process import (
     address_choice,
     dispatch_actor,
-    poison_evidence,
     poison_reports,
     relay_watch,
     request_metrics,
     snapshot_client,
     store_view,
 )
+from papayaloom.routing.poison import poison_evidence
 
 _log = structlog.get_logger('gateway')
 _MAX_ADDRESSES = 64
--- a/papayaloom/process/orders_settings.py
+++ b/papayaloom/process/orders_settings.py
@@ -3,12 +3,7 @@
 import typing
 
 from papayaloom import ids
-from papayaloom.process import (
-    configuration,
-    orders,
-    orders_lease,
-    orders_plan,
-)
+from papayaloom.process import configuration, orders, orders_lease, orders_plan
 from papayaloom.version import setting, snapshot, tree
 
 _MODEL_BRANCH = 'models/'
--- a/papayaloom/process/poison_reports.py
+++ b/papayaloom/process/poison_reports.py
@@ -18,13 +18,9 @@
 from papayaloom import errors
 from papayaloom.connection import client_connection
 from papayaloom.ports import kv
-from papayaloom.process import (
-    dispatch,
-    dispatch_actor,
-    fleet_hosts,
-    poison_evidence,
-    store_backoff,
-)
+from papayaloom.process import dispatch_actor, fleet_hosts, store_backoff
+from papayaloom.routing import dispatch
+from papayaloom.routing.poison import poison_evidence
 
 PATH = '/poison'
 _log = structlog.get_logger('poison')
--- a/papayaloom/process/relay.py
+++ b/papayaloom/process/relay.py
@@ -15,7 +15,9 @@
 
 from papayaloom import errors
 from papayaloom.ports import kv
-from papayaloom.process import rate_limits, request_counts, silent_hosts
+from papayaloom.process import silent_hosts
+from papayaloom.routing.limits import rate_limits
+from papayaloom.routing.load import request_counts
 
 _MAX_EVENTS = 4000
 # Maximum age of the last answer of the store for its changes to be relayed.
--- a/papayaloom/process/relay_watch.py
+++ b/papayaloom/process/relay_watch.py
@@ -12,14 +12,9 @@
 from papayaloom import decoding, errors
 from papayaloom.connection import client_connection
 from papayaloom.ports import kv
-from papayaloom.process import (
-    fleet_hosts,
-    rate_limits,
-    relay,
-    relay_plan,
-    request_counts,
-    store_backoff,
-)
+from papayaloom.process import fleet_hosts, relay, relay_plan, store_backoff
+from papayaloom.routing.limits import rate_limits
+from papayaloom.routing.load import request_counts
 
 PATH = '/exchange'
 # In a large fleet other hosts wait for the changes that this host receives, so
--- a/papayaloom/process/services.py
+++ b/papayaloom/process/services.py
@@ -6,7 +6,8 @@
 import result
 
 from papayaloom import errors, ids
-from papayaloom.process import ejection, targets
+from papayaloom.process import targets
+from papayaloom.routing.health import ejection
 from papayaloom.request import core_api
 from papayaloom.version import snapshot
 
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -14,15 +14,9 @@
 
 from papayaloom import decoding, errors
 from papayaloom.ports import kv
-from papayaloom.process import (
-    dispatch,
-    dispatch_actor,
-    feed,
-    fleet_hosts,
-    poison_evidence,
-    replicas,
-    stored_entries,
-)
+from papayaloom.process import dispatch_actor, feed, fleet_hosts, stored_entries
+from papayaloom.routing import dispatch, replicas
+from papayaloom.routing.poison import poison_evidence
 from papayaloom.request import header_dialect
 from papayaloom.version import routes
 
--- a/papayaloom/process/targets.py
+++ b/papayaloom/process/targets.py
@@ -8,14 +8,9 @@
 from papayaloom import ids, messages
 from papayaloom.ports import engine as engine_port
 from papayaloom.ports import hosts
-from papayaloom.process import (
-    admission,
-    budgets,
-    configuration,
-    ejection,
-    placement,
-    prefixes,
-)
+from papayaloom.process import admission, configuration, placement, prefixes
+from papayaloom.routing.health import ejection
+from papayaloom.routing.overload import budgets
 from papayaloom.version import snapshot, tree
 
 
--- a/papayaloom/process/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -10,26 +10,26 @@
 import result
 
 from papayaloom import errors, ids
-from papayaloom.process import (
-    budgets,
+from papayaloom.routing import (
     dispatch_messages,
+    placement_problems,
+    replica_choice,
+    replicas,
+)
+from papayaloom.routing.health import (
     ejection,
     failing_requests,
+    replica_availability,
+)
+from papayaloom.routing.limits import limited_choice, rate_limits, rate_shares
+from papayaloom.routing.load import (
     fleet_traffic,
-    limited_choice,
     load_estimates,
-    load_shedding,
     moving_averages,
-    placement_problems,
-    poison,
-    poison_detector,
-    rate_limits,
-    rate_shares,
-    replica_availability,
-    replica_choice,
-    replicas,
     request_counts,
 )
+from papayaloom.routing.overload import budgets, load_shedding
+from papayaloom.routing.poison import poison, poison_detector
 from papayaloom.request import header_dialect
 
 
--- a/papayaloom/process/dispatch_messages.py
+++ b/papayaloom/routing/dispatch_messages.py
@@ -3,7 +3,8 @@
 import msgspec
 
 from papayaloom import ids
-from papayaloom.process import poison_detector, poison_evidence, replicas
+from papayaloom.routing import replicas
+from papayaloom.routing.poison import poison_detector, poison_evidence
 
 
 class PlacementRequest(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/papayaloom/routing/health/__init__.py
@@ -0,0 +1,1 @@
+"""Replicas that are ejected, unreachable, pausing or possibly gone."""
--- a/papayaloom/process/failing_requests.py
+++ b/papayaloom/routing/health/failing_requests.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from papayaloom import ids
-from papayaloom.process import replicas
+from papayaloom.routing import replicas
 
 # Time for which a request that failed at several replicas is not repeated.
 _EXPIRY_S = 60.0
--- a/papayaloom/process/pauses.py
+++ b/papayaloom/routing/health/pauses.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from papayaloom.process import replicas
+from papayaloom.routing import replicas
 
 
 class _Pause(msgspec.Struct, frozen=True):
--- a/papayaloom/process/replica_availability.py
+++ b/papayaloom/routing/health/replica_availability.py
@@ -8,7 +8,8 @@
 import typing
 
 from papayaloom import ids
-from papayaloom.process import ejection, pauses, replicas
+from papayaloom.routing import replicas
+from papayaloom.routing.health import ejection, pauses
 
 # Time for which a replica gets no requests after a failed connection.
 _UNREACHABLE_HOLD_S = 2.0
--- /dev/null
+++ b/papayaloom/routing/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits that replicas named, and the share of each router."""
--- a/papayaloom/process/limited_choice.py
+++ b/papayaloom/routing/limits/limited_choice.py
@@ -8,7 +8,8 @@
 import typing
 
 from papayaloom import hashing
-from papayaloom.process import rate_shares, replicas
+from papayaloom.routing import replicas
+from papayaloom.routing.limits import rate_shares
 
 
 def first_in_rank(
--- a/papayaloom/process/rate_limits.py
+++ b/papayaloom/routing/limits/rate_limits.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from papayaloom.process import replicas
+from papayaloom.routing import replicas
 
 # A replica without a response for this long is sent requests again, which
 # shows whether its limit still holds.
--- a/papayaloom/process/rate_shares.py
+++ b/papayaloom/routing/limits/rate_shares.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from papayaloom.process import rate_limits, replicas
+from papayaloom.routing import replicas
+from papayaloom.routing.limits import rate_limits
 
 # Time over which the routers' requests together stay within a limit.
 _WINDOW_S = 4.0
--- a/papayaloom/process/fleet_traffic.py
+++ b/papayaloom/routing/load/fleet_traffic.py
@@ -10,11 +10,10 @@
 import math
 
 from papayaloom import ids
-from papayaloom.process import (
+from papayaloom.routing import replica_choice, replicas
+from papayaloom.routing.load import (
     arrival_rates,
     load_estimates,
-    replica_choice,
-    replicas,
     request_counts,
 )
 
--- a/papayaloom/process/request_counts.py
+++ b/papayaloom/routing/load/request_counts.py
@@ -23,7 +23,7 @@
         ranks first, by replica.
     :param arrived: arrivals within :data:`ARRIVAL_WINDOW_S`, by service.
     :param recent_first: as ``first``, within
-        :data:`papayaloom.process.arrival_rates.RECENT_S`.
+        :data:`papayaloom.routing.load.arrival_rates.RECENT_S`.
     :param recent_arrived: as ``arrived``, within the same time.
     :param demand: requests within :data:`ARRIVAL_WINDOW_S` for which a replica
         with a rate limit comes first, by replica; also those that it does not
--- /dev/null
+++ b/papayaloom/routing/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests are admitted or repeated under overload."""
--- a/papayaloom/process/load_shedding.py
+++ b/papayaloom/routing/overload/load_shedding.py
@@ -26,13 +26,13 @@
 import msgspec
 
 from papayaloom import errors, ids
-from papayaloom.process import (
+from papayaloom.routing import replicas
+from papayaloom.routing.load import (
     arrival_rates,
     load_estimates,
     moving_averages,
-    replicas,
-    retry_delays,
 )
+from papayaloom.routing.overload import retry_delays
 
 # Standard deviations by which estimated arrivals may be too many.
 _DEVIATIONS = 2
--- /dev/null
+++ b/papayaloom/routing/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which replicas crash: evidence and verdicts."""
--- a/papayaloom/process/poison.py
+++ b/papayaloom/routing/poison/poison.py
@@ -17,12 +17,9 @@
 import msgspec
 
 from papayaloom import ids
-from papayaloom.process import (
-    poison_evidence,
-    poison_suspects,
-    quarantine,
-    replicas,
-)
+from papayaloom.process import quarantine
+from papayaloom.routing import replicas
+from papayaloom.routing.poison import poison_evidence, poison_suspects
 
 # Maximum number of suspects, and of known good requests, that a host tracks.
 _MAX_FINGERPRINTS = 4096
--- a/papayaloom/process/poison_detector.py
+++ b/papayaloom/routing/poison/poison_detector.py
@@ -25,7 +25,9 @@
 import msgspec
 
 from papayaloom import ids
-from papayaloom.process import poison, poison_evidence, quarantine, replicas
+from papayaloom.process import quarantine
+from papayaloom.routing import replicas
+from papayaloom.routing.poison import poison, poison_evidence
 
 _PARTS_CFG = poison.Cfg(sound_s=5, moment_s=1, settle_s=0.5, reports_each=True)
 
--- a/papayaloom/process/poison_evidence.py
+++ b/papayaloom/routing/poison/poison_evidence.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from papayaloom import decoding, errors, ids
-from papayaloom.process import replicas
+from papayaloom.routing import replicas
 
 
 class Suspicion(msgspec.Struct, frozen=True):
--- a/papayaloom/process/poison_suspects.py
+++ b/papayaloom/routing/poison/poison_suspects.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from papayaloom import ids
-from papayaloom.process import replicas
+from papayaloom.routing import replicas
 
 
 class Termination(msgspec.Struct, frozen=True):
--- a/papayaloom/process/replica_choice.py
+++ b/papayaloom/routing/replica_choice.py
@@ -14,12 +14,9 @@
 import msgspec
 
 from papayaloom import hashing
-from papayaloom.process import (
-    limited_choice,
-    load_estimates,
-    rate_shares,
-    replicas,
-)
+from papayaloom.routing import replicas
+from papayaloom.routing.limits import limited_choice, rate_shares
+from papayaloom.routing.load import load_estimates
 
 # Beyond these ranks, the prefix gives no replica an advantage.
 _MAX_PREFERRED = 4
--- a/papayaloom/process/replicas.py
+++ b/papayaloom/routing/replicas.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from papayaloom import ids
-from papayaloom.process import lapses
+from papayaloom.routing.health import lapses
 
 ReplicaId = typing.NewType('ReplicaId', str)
 ReplicaStart = typing.NewType('ReplicaStart', str)
