--- a/papayaloom/platform/headers.py
+++ b/papayaloom/platform/headers.py
@@ -30,6 +30,11 @@
 # Caps ``Retry-After``: a replica that sends a longer pause by mistake would
 # take itself out of service.
 _MAX_PAUSE_S = 3600
+# Running, waiting and slots.
+_LOAD_COUNTS = 3
+_USUAL_PERCENT = 100
+# Bounds the effect of a wrong figure.
+_MAX_SLOWDOWN = 20
 
 # Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
@@ -208,8 +213,26 @@
 
 
 def _load(text: bytes) -> header_dialect.Load | None:
-    counts = _whole_numbers(text)
-    return header_dialect.Load(*counts) if len(counts) == 3 else None
+    """Return the reported load; None if one of its counts is malformed.
+
+    Further figures may follow the counts. A malformed one does not make the
+    counts less true.
+    """
+    figures = text.split(b',')
+    counts = _whole_numbers(b','.join(figures[:_LOAD_COUNTS]))
+    if len(counts) != _LOAD_COUNTS:
+        return None
+    running, waiting, slots = counts
+    slowdown = _slowdown(figures[_LOAD_COUNTS:])
+    return header_dialect.Load(running, waiting, slots, slowdown)
+
+
+def _slowdown(figures: list[bytes]) -> float | None:
+    """Return the slowdown of a replica's machine; None if it states none."""
+    percent = _number(figures[0]) if figures else None
+    if percent is None or not percent > 0:
+        return None
+    return min(percent / _USUAL_PERCENT, _MAX_SLOWDOWN)
 
 
 def _whole_numbers(text: bytes) -> list[int]:
@@ -251,11 +274,17 @@
     """
     if status == _MISDIRECTED:
         return None
+    per_s = _number(text)
+    return per_s if per_s is not None and per_s >= 0 else None
+
+
+def _number(text: bytes) -> float | None:
+    """Return a finite number; None if the text is none."""
     try:
-        per_s = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return per_s if math.isfinite(per_s) and per_s >= 0 else None
+    return number if math.isfinite(number) else None
 
 
 def _invalid_number(name: bytes, text: bytes) -> errors.RefusedError:
--- a/papayaloom/process/internal_endpoints.py
+++ b/papayaloom/process/internal_endpoints.py
@@ -141,9 +141,11 @@
         inbound.answer(_OK, [], b'')
 
     def _metrics(self, inbound: ingress.InboundRequest) -> None:
-        inbound.answer(
-            _OK, [_CONTENT_TYPE_TEXT], self._deps.metrics.prometheus_text()
+        decisions = self._deps.dispatch_client.ask(
+            lambda dispatcher, _: dispatcher.decisions.dump()
         )
+        content = self._deps.metrics.prometheus_text(decisions)
+        inbound.answer(_OK, [_CONTENT_TYPE_TEXT], content)
 
     def _dump(self, inbound: ingress.InboundRequest) -> None:
         inbound.answer(
--- a/papayaloom/process/request_metrics.py
+++ b/papayaloom/process/request_metrics.py
@@ -49,8 +49,11 @@
                 },
             }
 
-    def prometheus_text(self) -> bytes:
-        """Return the metrics in the Prometheus text exposition format."""
+    def prometheus_text(self, decisions: dict[str, int]) -> bytes:
+        """Return the metrics in the Prometheus text exposition format.
+
+        :param decisions: counts of routing decisions by name.
+        """
         with self._lock:
             lines = [f'papayaloom_running {self.running}']
             lines.extend(
@@ -62,4 +65,8 @@
                 f'{self._latency_ms.get_value_at_percentile(percentile)}'
                 for percentile in _PERCENTILES
             )
+        lines.extend(
+            f'papayaloom_decisions_total{{decision="{name}"}} {count}'
+            for name, count in decisions.items()
+        )
         return '\n'.join([*lines, '']).encode()
--- a/papayaloom/request/header_dialect.py
+++ b/papayaloom/request/header_dialect.py
@@ -64,11 +64,16 @@
 
 
 class Load(msgspec.Struct, frozen=True):
-    """Load that a replica reports in a response."""
+    """Load that a replica reports in a response.
+
+    :param slowdown: how long work takes on its machine at the moment, 1 is
+        usual; None if not stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True):
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -11,6 +11,7 @@
 
 from papayaloom import errors, ids
 from papayaloom.routing import (
+    decision_counts,
     dispatch_messages,
     placement_problems,
     replica_choice,
@@ -33,6 +34,10 @@
 from papayaloom.request import header_dialect
 
 
+# From this factor on, operators see a machine counted as slow.
+_NOTABLE_SLOWDOWN = 1.25
+
+
 class Cfg(msgspec.Struct, frozen=True):
     """Settings of the components."""
 
@@ -60,6 +65,7 @@
         self.replicas = replicas.Replicas(cfg.lapses)
         self.poison = poison_detector.PoisonDetector(cfg.blaming)
         self.rate_limits = rate_limits.RateLimits()
+        self.decisions = decision_counts.DecisionCounts()
         self._rate_shares = rate_shares.RateShares(rng)
         self._cfg = cfg
         self._rng = rng
@@ -139,6 +145,8 @@
         self, replica: replicas.ReplicaId, load: header_dialect.Load, now: float
     ) -> None:
         """Record the load that a replica reported."""
+        if load.slowdown is not None and load.slowdown >= _NOTABLE_SLOWDOWN:
+            self.decisions.add(decision_counts.Decision.SLOW_REPORTED)
         self._load_estimates.record_load(replica, load, now)
 
     def own_request_counts(self, now: float) -> request_counts.RequestCounts:
@@ -187,6 +195,7 @@
             'retries_left': self._budgets.dump(now),
             'running': self._shedder.dump(),
             'poison': self.poison.dump(),
+            'decisions': self.decisions.dump(),
         }
 
     def _choose(
@@ -272,6 +281,8 @@
     ) -> None:
         self._traffic.record_arrival(request.service, choice.preferred, now)
         self._shedder.record_start(request.service, request.organisation)
+        if choice.estimate.slowdown >= _NOTABLE_SLOWDOWN:
+            self.decisions.add(decision_counts.Decision.PLACED_ON_SLOW)
         chosen = choice.replica.id
         ejections = self._availability.ejections(request.service)
         if ejections.status(chosen, now) is ejection.Status.TRIAL:
--- a/papayaloom/routing/load/load_estimates.py
+++ b/papayaloom/routing/load/load_estimates.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from papayaloom.request import header_dialect
+from papayaloom.routing.load import slowdowns
 
 # Age from which a reported load is ignored.
 _REPORT_EXPIRY_S = 4.0
@@ -28,11 +29,13 @@
     :param own: requests that this router has running there now.
     :param others: requests of the other routers at the time of the report.
     :param age_s: age of that report.
+    :param slowdown: how long work takes on its machine; 1 is usual.
     """
 
     own: int
     others: float
     age_s: float
+    slowdown: float = 1
 
     @property
     def total(self) -> float:
@@ -85,6 +88,7 @@
         """Initialise without requests and reports."""
         self._own: dict[str, int] = {}
         self._reports: dict[str, ReportedLoad] = {}
+        self._slowdowns = slowdowns.Slowdowns()
 
     def record_start(self, replica: str) -> None:
         """Count a request that this router sent to a replica."""
@@ -105,6 +109,7 @@
         total = load.running + load.waiting
         others = max(total - self._own.get(replica, 0), 0)
         self._reports[replica] = ReportedLoad(now, others)
+        self._slowdowns.record(replica, load.slowdown, now)
 
     def record_fleet_totals(
         self, replicas: typing.Iterable[str], totals: dict[str, int], now: float
@@ -124,6 +129,7 @@
     def forget(self, replica: str) -> None:
         """Drop the report of a replica that was removed or restarted."""
         self._reports.pop(replica, None)
+        self._slowdowns.forget(replica)
 
     def own_requests(self) -> dict[str, int]:
         """Return the running requests of this router, by replica."""
@@ -146,6 +152,7 @@
                 own=self._own.get(replica, 0),
                 others=others[replica],
                 age_s=self._age_s(replica, now),
+                slowdown=self._slowdowns.factor(replica, now),
             )
             for replica in replicas
         }
--- a/papayaloom/routing/overload/load_shedding.py
+++ b/papayaloom/routing/overload/load_shedding.py
@@ -240,8 +240,9 @@
     """Return how many requests a replica can begin in time."""
     if replica.slots <= 0:
         return float('inf')
-    waiting = replica.slots * max_wait_s / load.service_time_s
-    return replica.slots + min(waiting, replica.slots)
+    slots = replica.slots / load.estimates[replica.id].slowdown
+    waiting = slots * max_wait_s / load.service_time_s
+    return slots + min(waiting, slots)
 
 
 def _certain_load(replica: replicas.Replica, load: Load) -> float:
--- a/papayaloom/routing/replica_choice.py
+++ b/papayaloom/routing/replica_choice.py
@@ -269,9 +269,11 @@
     for candidate in candidates:
         estimate = estimates[candidate.id]
         remaining_fraction = estimate.remaining_fraction(traffic.service_time_s)
-        loads[candidate.id] = estimate.own + estimate.others * max(
+        load = estimate.own + estimate.others * max(
             remaining_fraction, _MIN_REMAINING_FRACTION
         )
+        # Time that the request would take, in requests at a usual machine.
+        loads[candidate.id] = (load + 1) * estimate.slowdown - 1
         expected_arrivals += (
             (1 - remaining_fraction)
             * traffic.service_time_s
