--- a/papayaloom/ports/status.py
+++ b/papayaloom/ports/status.py
@@ -55,6 +55,10 @@
         quoted = urllib.parse.quote(request_id, safe='')
         return self._fetch_all(urls, f'/status/records/{quoted}')
 
+    def where(self, url: str, question: dict[str, str]) -> FetchResult:
+        """Ask a gateway where a request would go; problems are answers too."""
+        return self._fetch(url, f'/where?{urllib.parse.urlencode(question)}')
+
     def _fetch_all(
         self,
         urls: typing.Sequence[str],
--- a/papayaloom/process/internal_endpoints.py
+++ b/papayaloom/process/internal_endpoints.py
@@ -17,6 +17,7 @@
     address_choice,
     dispatch_actor,
     poison_reports,
+    preview_endpoint,
     relay_watch,
     request_metrics,
     snapshot_client,
@@ -66,6 +67,7 @@
             poison_reports.PATH: self._poison,
             '/metrics': self._metrics,
             '/dump': self._dump,
+            preview_endpoint.PATH: self._where,
         }
 
     def serve(self, received: typing.Any) -> None:
@@ -147,6 +149,12 @@
         content = self._deps.metrics.prometheus_text(decisions)
         inbound.answer(_OK, [_CONTENT_TYPE_TEXT], content)
 
+    def _where(self, inbound: ingress.InboundRequest) -> None:
+        status, content = preview_endpoint.serve(
+            inbound, self._deps.view.table, self._deps.dispatch_client
+        )
+        inbound.answer(status, [_CONTENT_TYPE_JSON], content)
+
     def _dump(self, inbound: ingress.InboundRequest) -> None:
         inbound.answer(
             _OK, [_CONTENT_TYPE_JSON], msgspec.json.encode(self._deps.dump())
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -3,6 +3,7 @@
 Owned by one actor. Its methods take events and the current time and do no I/O.
 """
 
+import copy
 import random
 import typing
 
@@ -76,7 +77,7 @@
         )
         self._shedder = load_shedding.LoadShedder(cfg.shedding, rng)
         self._budgets = budgets.RetryBudgets(cfg.repeats.share(hosts))
-        self._availability = replica_availability.ReplicaAvailability(
+        self.availability = replica_availability.ReplicaAvailability(
             cfg.ejecting, rng
         )
         self._failing = failing_requests.FailingRequests()
@@ -100,10 +101,10 @@
         ready = self.replicas.ready(request.service, now)
         if not ready:
             return result.Err(placement_problems.unavailable(request.service))
-        self._availability.ejections(request.service).update_upstreams(
+        self.availability.ejections(request.service).update_upstreams(
             one.id for one in ready
         )
-        available = self._availability.candidates(
+        available = self.availability.candidates(
             request.service, ready, request.tried, now
         )
         candidates = self.poison.isolated(subject, available, now)
@@ -111,7 +112,7 @@
             return result.Err(
                 placement_problems.unavailable(
                     request.service,
-                    self._availability.pause_retry_s(ready, now),
+                    self.availability.pause_retry_s(ready, now),
                 )
             )
         chosen = self._choose(request, ready, candidates, now)
@@ -138,7 +139,7 @@
             dispatch_messages.ended_attempt(attempt_result, now), now
         )
         if attempt_result.is_unreachable:
-            self._availability.record_unreachable(attempt_result.replica, now)
+            self.availability.record_unreachable(attempt_result.replica, now)
         return self._record_health(attempt_result, now)
 
     def record_load(
@@ -159,7 +160,7 @@
         self, replica: replicas.Replica, pause_s: float, now: float
     ) -> None:
         """Pause a replica that asked for it."""
-        self._availability.pause(replica, pause_s, now)
+        self.availability.pause(replica, pause_s, now)
 
     def update_fleet_counts(
         self, totals: request_counts.RequestCounts, now: float
@@ -171,12 +172,19 @@
         )
         self._traffic.record_totals(totals, now)
 
+    def copy(self, rng: random.Random) -> 'Dispatcher':
+        """Return an independent copy of the state, to try a placement on.
+
+        :param rng: random source of the copy.
+        """
+        return copy.deepcopy(self, {id(self._rng): rng})
+
     def forget(self, removed: typing.Iterable[replicas.ReplicaId]) -> None:
         """Drop the state of replicas that were removed or restarted."""
         for replica in removed:
             self._load_estimates.forget(replica)
             self._traffic.forget(replica)
-            self._availability.forget(replica)
+            self.availability.forget(replica)
 
     def dump(self, now: float) -> dict[str, object]:
         """Return the state for the operator's dump."""
@@ -190,7 +198,7 @@
                     names, now
                 ).items()
             },
-            **self._availability.dump(now),
+            **self.availability.dump(now),
             'rate_limits': self.rate_limits.dump(now),
             'retries_left': self._budgets.dump(now),
             'running': self._shedder.dump(),
@@ -206,7 +214,7 @@
         now: float,
     ) -> PlacementResult:
         """Choose one of the candidates, unless the request is rejected."""
-        estimates = self._estimates(request.service, ready, now)
+        estimates = self.estimates(request.service, ready, now)
         traffic = self._traffic.expected(request.service, estimates, now)
         admitted = self._shedder.admit(
             _demand(request),
@@ -284,7 +292,7 @@
         if choice.estimate.slowdown >= _NOTABLE_SLOWDOWN:
             self.decisions.add(decision_counts.Decision.PLACED_ON_SLOW)
         chosen = choice.replica.id
-        ejections = self._availability.ejections(request.service)
+        ejections = self.availability.ejections(request.service)
         if ejections.status(chosen, now) is ejection.Status.TRIAL:
             ejections.start_trial(chosen, now)
         self._load_estimates.record_start(chosen)
@@ -296,7 +304,7 @@
         """Record what an attempt says about the health of replicas."""
         if attempt_result.is_failure is None:
             return []
-        ejections = self._availability.ejections(attempt_result.service)
+        ejections = self.availability.ejections(attempt_result.service)
         chosen = attempt_result.replica
         if not attempt_result.is_failure:
             ejections.record_success(chosen, now)
@@ -331,7 +339,7 @@
             return None
         return placement_problems.budget_spent()
 
-    def _estimates(
+    def estimates(
         self,
         service: ids.ServiceId,
         ready: list[replicas.Replica],
@@ -361,7 +369,7 @@
         prefix_holders = [
             one
             for one in self.replicas.listed(request.service)
-            if self._availability.is_reachable(one.id, now)
+            if self.availability.is_reachable(one.id, now)
         ]
         recently_started = self.replicas.recently_started(request.service, now)
         return replica_choice.Eligible(
--- a/papayaloom/routing/health/replica_availability.py
+++ b/papayaloom/routing/health/replica_availability.py
@@ -4,6 +4,7 @@
 during a pause that it requested.
 """
 
+import enum
 import random
 import typing
 
@@ -17,6 +18,14 @@
 _PAUSE_JITTER = 0.25
 
 
+class Unavailability(enum.Enum):
+    """Why a replica gets no requests for the moment."""
+
+    PAUSED = 'pauses at its own request'
+    UNREACHABLE = 'a connection to it has just failed'
+    EJECTED = 'ejected after failures'
+
+
 class ReplicaAvailability:
     """Ejections, failed connections and pauses, as seen by one router."""
 
@@ -80,6 +89,19 @@
         ]
         return not_ejected or reachable or untried
 
+    def unavailability(
+        self, replica: replicas.Replica, now: float
+    ) -> Unavailability | None:
+        """Return why a replica gets no requests; None if it gets some."""
+        if self._pauses.left_s(replica, now):
+            return Unavailability.PAUSED
+        if not self.is_reachable(replica.id, now):
+            return Unavailability.UNREACHABLE
+        ejections = self.ejections(replica.service)
+        if ejections.status(replica.id, now) is ejection.Status.EJECTED:
+            return Unavailability.EJECTED
+        return None
+
     def pause_retry_s(
         self, ready: typing.Iterable[replicas.Replica], now: float
     ) -> float:
