--- a/papayaloom/platform/documents.py
+++ b/papayaloom/platform/documents.py
@@ -18,6 +18,7 @@
     replicas='servers/',
     hosts='papayaloom/hosts/',
     poison='papayaloom/poison/',
+    evacuations='op/evacuate/',
 )
 _KINDS = types.MappingProxyType(
     {
--- a/papayaloom/process/dispatch_actor.py
+++ b/papayaloom/process/dispatch_actor.py
@@ -166,6 +166,14 @@
 
         self.tell(step)
 
+    def may_contact(self, replica: replicas.Replica) -> bool:
+        """Whether a replica may get connections: its zone is in service."""
+        return self.ask(
+            lambda dispatcher, _: (
+                not dispatcher.evacuations.is_evacuated(replica.zone)
+            )
+        )
+
     def own_request_counts(self) -> request_counts.RequestCounts:
         """Return the running and arrived requests of this router."""
         return self.ask(
--- /dev/null
+++ b/papayaloom/process/evacuation_entries.py
@@ -0,0 +1,143 @@
+"""Applies the store's entries about evacuated zones.
+
+An entry's key names the zone; any value counts.
+"""
+
+import typing
+
+import structlog
+
+from papayaloom.ports import kv
+from papayaloom.process import dispatch_actor, stored_entries
+from papayaloom.routing import decision_counts, dispatch
+from papayaloom.routing.health import evacuations
+
+_log = structlog.get_logger('view')
+_USUAL_VALUE = b'{}'
+# The rest of an unexpected value is left out of the log.
+_LOGGED_BYTES = 80
+
+
+class EvacuationEntries:
+    """Entries about evacuated zones.
+
+    :param prefix: key prefix of the entries.
+    :param stored: entries that this host serves to others as a snapshot.
+    """
+
+    def __init__(
+        self,
+        prefix: str,
+        dispatch_client: dispatch_actor.DispatchClient,
+        stored: stored_entries.StoredEntries,
+    ) -> None:
+        """Use the given dispatch state."""
+        self._prefix = prefix
+        self._dispatch_client = dispatch_client
+        self._stored = stored
+        self._has_snapshot = False
+        self._reported_unknown: frozenset[str] = frozenset()
+
+    def replace(
+        self,
+        entries: typing.Sequence[kv.Entry],
+        *,
+        is_older: bool,
+        is_snapshot: bool,
+    ) -> None:
+        """Apply a listing.
+
+        A snapshot ends no evacuation, nor does the first listing after it: the
+        store may have been restored from an older copy in between.
+
+        :param is_older: the listing may be older than what is known.
+        :param is_snapshot: the listing comes from another host.
+        """
+        named = [self._evacuated_zone(one.key, one.value) for one in entries]
+        zones = [zone for zone in named if zone]
+        is_older = is_older or is_snapshot or self._has_snapshot
+        self._has_snapshot = is_snapshot
+
+        def step(
+            dispatcher: dispatch.Dispatcher, now: float
+        ) -> tuple[evacuations.Changes, frozenset[str]]:
+            changes = dispatcher.evacuations.replace(
+                zones, now, is_older=is_older
+            )
+            _record(dispatcher, changes)
+            return changes, dispatcher.evacuations.unconfirmed
+
+        changes, unconfirmed = self._dispatch_client.ask(step)
+        _log_changes(changes)
+        if unconfirmed:
+            _log.warning(
+                'view: a listing that may be older lacks evacuated zones',
+                zones=sorted(unconfirmed),
+            )
+        # Hosts that start with this host's snapshot need the kept ones too.
+        kept = {f'{self._prefix}{zone}': _USUAL_VALUE for zone in unconfirmed}
+        listed = {one.key: one.value for one in entries}
+        self._stored.replace(self._prefix, {**kept, **listed})
+
+    def update(self, key: str, content: bytes) -> None:
+        """Apply a written entry."""
+        zone = self._evacuated_zone(key, content)
+
+        def step(dispatcher: dispatch.Dispatcher, now: float) -> None:
+            if dispatcher.evacuations.evacuate(zone, now):
+                changes = evacuations.Changes(evacuated=(zone,))
+                _record(dispatcher, changes)
+                _log_changes(changes)
+
+        if zone:
+            self._dispatch_client.ask(step)
+
+    def remove(self, key: str) -> None:
+        """Apply the removal of an entry."""
+        zone = key.removeprefix(self._prefix)
+
+        def step(dispatcher: dispatch.Dispatcher, now: float) -> None:
+            if dispatcher.evacuations.end(zone, now):
+                changes = evacuations.Changes(returned=(zone,))
+                _record(dispatcher, changes)
+                _log_changes(changes)
+
+        self._dispatch_client.ask(step)
+
+    def log_unknown(self, dispatcher: dispatch.Dispatcher) -> None:
+        """Log evacuated zones without a known replica, each once."""
+        unknown = dispatcher.evacuations.zones
+        if unknown:
+            unknown -= {one.zone for one in dispatcher.replicas.dump()}
+        for zone in sorted(unknown - self._reported_unknown):
+            _log.warning('view: no replica in an evacuated zone', zone=zone)
+        self._reported_unknown = unknown
+
+    def _evacuated_zone(self, key: str, content: bytes) -> str:
+        """Return the zone that an entry names; empty if it names none."""
+        zone = key.removeprefix(self._prefix)
+        if not zone:
+            _log.warning('view: an evacuation names no zone', key=key)
+        elif content.strip() != _USUAL_VALUE:
+            _log.warning(
+                'view: unexpected value of an evacuation',
+                key=key,
+                content=content[:_LOGGED_BYTES],
+            )
+        return zone
+
+
+def _record(
+    dispatcher: dispatch.Dispatcher, changes: evacuations.Changes
+) -> None:
+    for _ in changes.evacuated:
+        dispatcher.decisions.add(decision_counts.Decision.ZONE_EVACUATED)
+    for _ in changes.returned:
+        dispatcher.decisions.add(decision_counts.Decision.ZONE_RETURNED)
+
+
+def _log_changes(changes: evacuations.Changes) -> None:
+    for evacuated in changes.evacuated:
+        _log.info('view: zone evacuated', zone=evacuated)
+    for returned in changes.returned:
+        _log.info('view: zone returned', zone=returned)
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -152,7 +152,7 @@
                 replica.id, conn.cost_bytes, time.monotonic()
             )
             return result.Err(
-                _connection_failure(replica, exc, attempt.has_begun)
+                self._connection_failure(replica, exc, attempt.has_begun)
             )
         except upstream_connection.ResponseTimeoutError:
             conn.close()
@@ -170,6 +170,24 @@
             conn.close()
         return outcome
 
+    def _connection_failure(
+        self,
+        replica: replicas.Replica,
+        exc: errors.UpstreamError,
+        has_begun: bool,
+    ) -> forward_job.Failure:
+        """Return the failure of an attempt whose connection failed."""
+        has_run = exc.verdict is not _NOT_RUN
+        return forward_job.Failure(
+            exc.verdict,
+            str(exc),
+            has_run or None,
+            process_ended=exc.crashed
+            and self._deps.dispatch_client.may_contact(replica)
+            and probe.has_ended(replica.address),
+            has_begun=has_begun,
+        )
+
     def _new_attempt(
         self,
         job: forward_job.Job,
@@ -301,19 +319,3 @@
         return None
     start = replicas.start_id(replica)
     return poison_evidence.Suspicion(job.fingerprint, start, failure.has_begun)
-
-
-def _connection_failure(
-    replica: replicas.Replica,
-    exc: errors.UpstreamError,
-    has_begun: bool,
-) -> forward_job.Failure:
-    """Return the failure of an attempt whose connection failed."""
-    has_run = exc.verdict is not _NOT_RUN
-    return forward_job.Failure(
-        exc.verdict,
-        str(exc),
-        has_run or None,
-        process_ended=exc.crashed and probe.has_ended(replica.address),
-        has_begun=has_begun,
-    )
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -14,7 +14,13 @@
 
 from papayaloom import decoding, errors
 from papayaloom.ports import kv
-from papayaloom.process import dispatch_actor, feed, fleet_hosts, stored_entries
+from papayaloom.process import (
+    dispatch_actor,
+    evacuation_entries,
+    feed,
+    fleet_hosts,
+    stored_entries,
+)
 from papayaloom.routing import dispatch, replicas
 from papayaloom.routing.poison import poison_evidence
 from papayaloom.request import header_dialect
@@ -31,12 +37,14 @@
     :param replicas: key prefix of the replicas.
     :param hosts: key prefix of the hosts of this fleet.
     :param poison: key prefix of this fleet's reports of poison requests.
+    :param evacuations: key prefix of the evacuated zones.
     """
 
     routes: str
     replicas: str
     hosts: str
     poison: str
+    evacuations: str
 
 
 class PlatformAdapter(msgspec.Struct, frozen=True):
@@ -87,6 +95,9 @@
         self._is_next_listing_older = False
         self._answered_at = float('-inf')
         self._entries = stored_entries.StoredEntries()
+        self._evacuations = evacuation_entries.EvacuationEntries(
+            platform.keys.evacuations, dispatch_client, self._entries
+        )
 
     @property
     def version(self) -> int:
@@ -106,9 +117,15 @@
         )
 
     def describe(self, key: str, content: bytes) -> object:
-        """Return an entry's content without its heartbeat counters."""
+        """Return an entry's content without its heartbeat counters.
+
+        None means that every change counts: an evacuation that is written again
+        after a removal which the relay missed has the content that it had.
+        """
         if key.startswith(self._platform.keys.replicas):
             return self._platform.replica(key, content)
+        if key.startswith(self._platform.keys.evacuations):
+            return None
         return content
 
     def age_s(self, now: float) -> float:
@@ -151,6 +168,7 @@
             removed = dispatcher.replicas.tick(now)
             dispatcher.forget(removed)
             dispatcher.poison.tick(now)
+            self._evacuations.log_unknown(dispatcher)
             self._close_idle(removed)
 
         self._dispatch_client.tell(step)
@@ -189,6 +207,12 @@
         keys = self._platform.keys
         return {
             keys.routes: self._apply_routes_listing,
+            # Before the replicas, so that none is used in an evacuated zone.
+            keys.evacuations: lambda entries: self._evacuations.replace(
+                entries,
+                is_older=self._is_next_listing_older,
+                is_snapshot=not self._is_listed,
+            ),
             keys.replicas: self._apply_replicas_listing,
             keys.hosts: self._apply_hosts_listing,
             keys.poison: self._apply_poison_listing,
@@ -215,6 +239,8 @@
                 self.hosts.update(host)
         elif key.startswith(keys.poison):
             self._apply_poison(key, content)
+        elif key.startswith(keys.evacuations):
+            self._evacuations.update(key, content)
 
     def _apply_removal(self, key: str) -> None:
         keys = self._platform.keys
@@ -225,6 +251,8 @@
             name = key.removeprefix(keys.hosts)
             _log.info('view: host removed', host=name)
             self.hosts.remove(name, time.monotonic())
+        elif key.startswith(keys.evacuations):
+            self._evacuations.remove(key)
 
     def _apply_routes_listing(self, entries: list[kv.Entry]) -> None:
         key = self._platform.keys.routes
--- a/papayaloom/routing/decision_counts.py
+++ b/papayaloom/routing/decision_counts.py
@@ -10,6 +10,10 @@
     # A response that states a slow machine, and a request placed on one.
     SLOW_REPORTED = 'slow_machine_reported'
     PLACED_ON_SLOW = 'placed_on_slow_machine'
+    # A zone taken out of service or back, and a request without another zone.
+    ZONE_EVACUATED = 'zone_evacuated'
+    ZONE_RETURNED = 'zone_returned'
+    ALL_EVACUATED = 'rejected_all_zones_evacuated'
 
 
 class DecisionCounts:
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -19,6 +19,7 @@
 )
 from papayaloom.routing.health import (
     ejection,
+    evacuations,
     failing_requests,
     replica_availability,
 )
@@ -65,6 +66,7 @@
         self.replicas = replicas.Replicas(cfg.lapses)
         self.poison = poison_detector.PoisonDetector(cfg.blaming)
         self.rate_limits = rate_limits.RateLimits()
+        self.evacuations = evacuations.Evacuations()
         self.decisions = decision_counts.DecisionCounts()
         self._rate_shares = rate_shares.RateShares(rng)
         self._cfg = cfg
@@ -97,16 +99,22 @@
             return result.Err(
                 placement_problems.condemned(condemned, self.poison.retry_s())
             )
-        ready = self.replicas.ready(request.service, now)
+        listed = self.replicas.ready(request.service, now)
+        ready = self.evacuations.in_service(listed)
         if not ready:
-            return result.Err(placement_problems.unavailable(request.service))
+            return result.Err(self._no_ready(request.service, listed))
         self._availability.ejections(request.service).update_upstreams(
             one.id for one in ready
         )
         available = self._availability.candidates(
             request.service, ready, request.tried, now
         )
-        candidates = self.poison.isolated(subject, available, now)
+        candidates = self.evacuations.ramped(
+            self.poison.isolated(subject, available, now),
+            request.prefix,
+            now,
+            self._rng,
+        )
         if not candidates:
             return result.Err(
                 placement_problems.unavailable(
@@ -192,12 +200,25 @@
             },
             **self._availability.dump(now),
             'rate_limits': self.rate_limits.dump(now),
+            'zones': self.evacuations.dump(now),
             'retries_left': self._budgets.dump(now),
             'running': self._shedder.dump(),
             'poison': self.poison.dump(),
             'decisions': self.decisions.dump(),
         }
 
+    def _no_ready(
+        self, service: ids.ServiceId, listed: list[replicas.Replica]
+    ) -> errors.Problem:
+        """Return why no replica of a service is in use.
+
+        :param listed: replicas that accept requests, in any zone.
+        """
+        if not listed:
+            return placement_problems.unavailable(service)
+        self.decisions.add(decision_counts.Decision.ALL_EVACUATED)
+        return placement_problems.evacuated(service)
+
     def _choose(
         self,
         request: dispatch_messages.PlacementRequest,
@@ -360,12 +381,21 @@
             return replica_choice.Eligible(candidates)
         prefix_holders = [
             one
-            for one in self.replicas.listed(request.service)
+            for one in self.evacuations.in_service(
+                self.replicas.listed(request.service)
+            )
             if self._availability.is_reachable(one.id, now)
         ]
         recently_started = self.replicas.recently_started(request.service, now)
+        # The caches of a returned zone are empty too.
+        recently_returned = self.evacuations.recently_returned(
+            prefix_holders, self._cfg.lapses.newcomer_s, now
+        )
         return replica_choice.Eligible(
-            candidates, prefix_holders, recently_started, limited
+            candidates,
+            prefix_holders,
+            recently_started | recently_returned,
+            limited,
         )
 
 
--- a/papayaloom/routing/placement_problems.py
+++ b/papayaloom/routing/placement_problems.py
@@ -4,6 +4,7 @@
 
 _UNAVAILABLE_RETRY_S = 0.5
 _NO_BUDGET_RETRY_S = 1.0
+_EVACUATED_RETRY_S = 2.0
 
 
 def unavailable(service: ids.ServiceId, pause_s: float = 0) -> errors.Problem:
@@ -19,6 +20,16 @@
     )
 
 
+def evacuated(service: ids.ServiceId) -> errors.Problem:
+    """Return the problem while all zones of a service are evacuated."""
+    return errors.Problem(
+        'all zones with replicas of the service are evacuated',
+        503,
+        detail=f'service {service}',
+        retry_after_s=_EVACUATED_RETRY_S,
+    )
+
+
 def rate_limited(service: ids.ServiceId) -> errors.Problem:
     """Return the problem for a request above the limits of all replicas."""
     return errors.Problem(
