--- a/papayaloom/process/preview_endpoint.py
+++ b/papayaloom/process/preview_endpoint.py
@@ -6,7 +6,6 @@
 
 import random
 import time
-import typing
 import urllib.parse
 
 import msgspec
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -20,6 +20,7 @@
 )
 from papayaloom.routing.health import (
     ejection,
+    evacuations,
     failing_requests,
     replica_availability,
 )
@@ -66,6 +67,7 @@
         self.replicas = replicas.Replicas(cfg.lapses)
         self.poison = poison_detector.PoisonDetector(cfg.blaming)
         self.rate_limits = rate_limits.RateLimits()
+        self.evacuations = evacuations.Evacuations()
         self.decisions = decision_counts.DecisionCounts()
         self._rate_shares = rate_shares.RateShares(rng)
         self._cfg = cfg
@@ -77,7 +79,7 @@
         )
         self._shedder = load_shedding.LoadShedder(cfg.shedding, rng)
         self._budgets = budgets.RetryBudgets(cfg.repeats.share(hosts))
-        self.availability = replica_availability.ReplicaAvailability(
+        self._availability = replica_availability.ReplicaAvailability(
             cfg.ejecting, rng
         )
         self._failing = failing_requests.FailingRequests()
@@ -98,21 +100,27 @@
             return result.Err(
                 placement_problems.condemned(condemned, self.poison.retry_s())
             )
-        ready = self.replicas.ready(request.service, now)
+        listed = self.replicas.ready(request.service, now)
+        ready = self.evacuations.in_service(listed)
         if not ready:
-            return result.Err(placement_problems.unavailable(request.service))
-        self.availability.ejections(request.service).update_upstreams(
+            return result.Err(self._no_ready(request.service, listed))
+        self._availability.ejections(request.service).update_upstreams(
             one.id for one in ready
         )
-        available = self.availability.candidates(
+        available = self._availability.candidates(
             request.service, ready, request.tried, now
         )
-        candidates = self.poison.isolated(subject, available, now)
+        candidates = self.evacuations.ramped(
+            self.poison.isolated(subject, available, now),
+            request.prefix,
+            now,
+            self._rng,
+        )
         if not candidates:
             return result.Err(
                 placement_problems.unavailable(
                     request.service,
-                    self.availability.pause_retry_s(ready, now),
+                    self._availability.pause_retry_s(ready, now),
                 )
             )
         chosen = self._choose(request, ready, candidates, now)
@@ -139,7 +147,7 @@
             dispatch_messages.ended_attempt(attempt_result, now), now
         )
         if attempt_result.is_unreachable:
-            self.availability.record_unreachable(attempt_result.replica, now)
+            self._availability.record_unreachable(attempt_result.replica, now)
         return self._record_health(attempt_result, now)
 
     def record_load(
@@ -160,7 +168,7 @@
         self, replica: replicas.Replica, pause_s: float, now: float
     ) -> None:
         """Pause a replica that asked for it."""
-        self.availability.pause(replica, pause_s, now)
+        self._availability.pause(replica, pause_s, now)
 
     def update_fleet_counts(
         self, totals: request_counts.RequestCounts, now: float
@@ -179,12 +187,36 @@
         """
         return copy.deepcopy(self, {id(self._rng): rng})
 
+    def unavailability(
+        self, replica: replicas.Replica, now: float
+    ) -> replica_availability.Unavailability | None:
+        """Return why a replica is out of use; None if it is not."""
+        return self._availability.unavailability(replica, now)
+
     def forget(self, removed: typing.Iterable[replicas.ReplicaId]) -> None:
         """Drop the state of replicas that were removed or restarted."""
         for replica in removed:
             self._load_estimates.forget(replica)
             self._traffic.forget(replica)
-            self.availability.forget(replica)
+            self._availability.forget(replica)
+
+    def estimates(
+        self,
+        service: ids.ServiceId,
+        ready: list[replicas.Replica],
+        now: float,
+    ) -> dict[str, load_estimates.LoadEstimate]:
+        """Return the load estimates of the replicas of a service.
+
+        If no replica reports its load, the requests of the other routers follow
+        from their expected arrivals by Little's law.
+        """
+        others = self._traffic.least_others_per_s(
+            service, now
+        ) * self._service_times_s.get(service, 0)
+        return self._load_estimates.estimates(
+            [one.id for one in ready], now, others / len(ready)
+        )
 
     def dump(self, now: float) -> dict[str, object]:
         """Return the state for the operator's dump."""
@@ -198,14 +230,27 @@
                     names, now
                 ).items()
             },
-            **self.availability.dump(now),
+            **self._availability.dump(now),
             'rate_limits': self.rate_limits.dump(now),
+            'zones': self.evacuations.dump(now),
             'retries_left': self._budgets.dump(now),
             'running': self._shedder.dump(),
             'poison': self.poison.dump(),
             'decisions': self.decisions.dump(),
         }
 
+    def _no_ready(
+        self, service: ids.ServiceId, listed: list[replicas.Replica]
+    ) -> errors.Problem:
+        """Return why no replica of a service is in use.
+
+        :param listed: replicas that accept requests, in any zone.
+        """
+        if not listed:
+            return placement_problems.unavailable(service)
+        self.decisions.add(decision_counts.Decision.ALL_EVACUATED)
+        return placement_problems.evacuated(service)
+
     def _choose(
         self,
         request: dispatch_messages.PlacementRequest,
@@ -292,7 +337,7 @@
         if choice.estimate.slowdown >= _NOTABLE_SLOWDOWN:
             self.decisions.add(decision_counts.Decision.PLACED_ON_SLOW)
         chosen = choice.replica.id
-        ejections = self.availability.ejections(request.service)
+        ejections = self._availability.ejections(request.service)
         if ejections.status(chosen, now) is ejection.Status.TRIAL:
             ejections.start_trial(chosen, now)
         self._load_estimates.record_start(chosen)
@@ -304,7 +349,7 @@
         """Record what an attempt says about the health of replicas."""
         if attempt_result.is_failure is None:
             return []
-        ejections = self.availability.ejections(attempt_result.service)
+        ejections = self._availability.ejections(attempt_result.service)
         chosen = attempt_result.replica
         if not attempt_result.is_failure:
             ejections.record_success(chosen, now)
@@ -339,24 +384,6 @@
             return None
         return placement_problems.budget_spent()
 
-    def estimates(
-        self,
-        service: ids.ServiceId,
-        ready: list[replicas.Replica],
-        now: float,
-    ) -> dict[str, load_estimates.LoadEstimate]:
-        """Return the load estimates of the replicas of a service.
-
-        If no replica reports its load, the requests of the other routers follow
-        from their expected arrivals by Little's law.
-        """
-        others = self._traffic.least_others_per_s(
-            service, now
-        ) * self._service_times_s.get(service, 0)
-        return self._load_estimates.estimates(
-            [one.id for one in ready], now, others / len(ready)
-        )
-
     def _eligible(
         self,
         request: dispatch_messages.PlacementRequest,
@@ -368,12 +395,21 @@
             return replica_choice.Eligible(candidates)
         prefix_holders = [
             one
-            for one in self.replicas.listed(request.service)
-            if self.availability.is_reachable(one.id, now)
+            for one in self.evacuations.in_service(
+                self.replicas.listed(request.service)
+            )
+            if self._availability.is_reachable(one.id, now)
         ]
         recently_started = self.replicas.recently_started(request.service, now)
+        # The caches of a returned zone are empty too.
+        recently_returned = self.evacuations.recently_returned(
+            prefix_holders, self._cfg.lapses.newcomer_s, now
+        )
         return replica_choice.Eligible(
-            candidates, prefix_holders, recently_started, limited
+            candidates,
+            prefix_holders,
+            recently_started | recently_returned,
+            limited,
         )
 
 
--- a/papayaloom/routing/placement_preview.py
+++ b/papayaloom/routing/placement_preview.py
@@ -81,7 +81,9 @@
         for _ in range(_SAMPLES)
     ]
     placed = [one.ok_value for one in outcomes if isinstance(one, result.Ok)]
-    rejected = [one.err_value for one in outcomes if isinstance(one, result.Err)]
+    rejected = [
+        one.err_value for one in outcomes if isinstance(one, result.Err)
+    ]
     chosen = collections.Counter(one.replica.id for one in placed)
     typical = placed[0] if placed else None
     source = typical.source if typical else None
@@ -116,7 +118,9 @@
     chosen: collections.Counter[replicas.ReplicaId],
     now: float,
 ) -> tuple[ReplicaView, ...]:
-    listed = {one.id: one for one in dispatcher.replicas.listed(request.service)}
+    listed = {
+        one.id: one for one in dispatcher.replicas.listed(request.service)
+    }
     names = list(listed)
     if request.prefix:
         ranked = hashing.rank(request.prefix, names, len(names))
@@ -129,7 +133,7 @@
         ReplicaView(
             id=name,
             zone=listed[name].zone,
-            exclusion=exclusions.get(name, ''),
+            exclusion=exclusions[name],
             rank=rank if request.prefix else 0,
             running=round(estimates[name].total, 1),
             own=estimates[name].own,
@@ -149,25 +153,33 @@
 ) -> dict[replicas.ReplicaId, str]:
     """Return why replicas get no requests."""
     ready = dispatcher.replicas.ready(request.service, now)
-    ready_ids = {one.id for one in ready}
     subject = dispatch_messages.subject(request)
-    unsuspected = {
-        one.id for one in dispatcher.poison.isolated(subject, ready, now)
-    }
+    unsuspected = dispatcher.poison.isolated(subject, ready, now)
     found = {}
     for one in dispatcher.replicas.listed(request.service):
-        unavailability = dispatcher.availability.unavailability(one, now)
-        if one.state is replicas.State.DRAINING:
-            found[one.id] = 'draining'
-        elif one.id not in ready_ids:
-            found[one.id] = 'its entry has lapsed'
-        elif unavailability is not None:
-            found[one.id] = unavailability.value
-        elif one.id not in unsuspected:
-            found[one.id] = 'runs a request that may crash replicas'
+        reason = _state_exclusion(dispatcher, one, ready)
+        unavailability = dispatcher.unavailability(one, now)
+        if not reason and unavailability is not None:
+            reason = unavailability.value
+        if not reason and one not in unsuspected:
+            reason = 'runs a request that may crash replicas'
+        found[one.id] = reason
     return found
 
 
+def _state_exclusion(
+    dispatcher: dispatch.Dispatcher,
+    replica: replicas.Replica,
+    ready: list[replicas.Replica],
+) -> str:
+    """Return why the state of a replica keeps it out of use, or nothing."""
+    if replica.state is replicas.State.DRAINING:
+        return 'draining'
+    if dispatcher.evacuations.is_evacuated(replica.zone):
+        return 'its zone is evacuated'
+    return '' if replica in ready else 'its entry has lapsed'
+
+
 def _limit_per_s(
     dispatcher: dispatch.Dispatcher, replica: replicas.Replica, now: float
 ) -> float | None:
