Cold replicas: permits of a few hosts for each, warm ones first

Nothing read `coldRemainingMs`, `services` or `Papayaloom-Cold-Remaining`; a replica that had just started got its usual share.

Change: warm-ups are decoded and remembered (routing/limits/cold_replicas.py). Warm replicas come first; beyond them a cold one gets requests only from hosts that own its permits, as many as it takes requests a second, each at most one request in more than a second (cold_permits.py, cold_choice.py). A host that has just started or is out of touch has no permits. After the warm-up the load rises in steps. Takes effect only where settings have bounds.coldOver and the service has coldPerS above 0.

--- a/papayaloom/platform/documents.py
+++ b/papayaloom/platform/documents.py
@@ -7,12 +7,14 @@
 import urllib.parse
 
 import msgspec
+import structlog
 
 from papayaloom import decoding, errors, ids
 from papayaloom.process import store_view
 from papayaloom.routing import replicas
 from papayaloom.version import routes
 
+_log = structlog.get_logger('view')
 KEYS = store_view.Keys(
     routes='op/config',
     replicas='servers/',
@@ -30,7 +32,12 @@
 _MAX_PORT = 65_535
 # Year 2200.
 _MAX_UNIX_MS = 7_258_118_400_000
+# Longer warm-ups are taken for an error.
+_MAX_COLD_MS = 600_000
+_MAX_RATE_PER_S = 1_000_000
 _Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+_ColdS = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_MS / 1000)]
+_RatePerS = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_RATE_PER_S)]
 _UnixMs = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_UNIX_MS)]
 _READINESS_PATH = '/readiness'
 _DIRECTORY_PATH = '/resolve'
@@ -78,11 +85,24 @@
     priority: int | None = None
 
 
+class _Service(_CamelStruct, frozen=True):
+    """Declaration of a service.
+
+    :param cold_s: seconds.
+    :param cold_per_s: requests per second.
+    """
+
+    name: str
+    cold_s: _ColdS = 0
+    cold_per_s: _RatePerS = 0
+
+
 class _Config(_CamelStruct, frozen=True):
     version: int
     routes: tuple[_Route, ...] = ()
     limits: _Limits = _Limits()
     tenants: tuple[_Tenant, ...] | None = None
+    services: object = ()
 
 
 class _ReplicaEntry(_CamelStruct, frozen=True):
@@ -97,6 +117,7 @@
     zone: str = ''
     slots: _Slots = 0
     born: _UnixMs = 0
+    cold_remaining_ms: object = 0
 
 
 class _DirectoryAnswer(_CamelStruct, frozen=True):
@@ -121,6 +142,7 @@
             routes=tuple(_route(route) for route in config.routes),
             organisations=_organisations(config.tenants),
             limits=_limits(config.limits),
+            services=_services(config.services),
         )
     except (msgspec.MsgspecError, KeyError) as exc:
         raise errors.CodecError(f'desired state: {exc!r}') from exc
@@ -138,12 +160,23 @@
             slots=entry.slots,
             state=replicas.State(entry.state),
             born=entry.born,
+            cold_s=_cold_s(entry.cold_remaining_ms),
         )
     except (msgspec.MsgspecError, ValueError):
         # Other programs may write any content here; the caller logs the key.
         return None
 
 
+def _cold_s(cold_ms: object) -> float | None:
+    """Return the rest of a warm-up; None if it is malformed."""
+    if cold_ms is None:
+        return 0
+    is_number = isinstance(cold_ms, int | float) and cold_ms is not True
+    if not is_number or not 0 <= typing.cast(float, cold_ms) <= _MAX_COLD_MS:
+        return None
+    return typing.cast(float, cold_ms) / 1000
+
+
 def _replica_id(key: str) -> replicas.ReplicaId:
     """Return the id in a key.
 
@@ -194,6 +227,27 @@
     )
 
 
+def _services(declared: object) -> tuple[routes.Service, ...]:
+    """Return the declared services without malformed ones.
+
+    Only their warm-ups are used. Without them requests can still be routed, so
+    a malformed declaration does not keep a version out of force.
+    """
+    services = []
+    for one in declared if isinstance(declared, list) else ():
+        try:
+            service = msgspec.convert(one, _Service)
+        except msgspec.ValidationError as exc:
+            _log.error('view: ignored a malformed service', reason=str(exc))
+            continue
+        services.append(
+            routes.Service(
+                ids.ServiceId(service.name), service.cold_s, service.cold_per_s
+            )
+        )
+    return tuple(services)
+
+
 def _route(route: _Route) -> routes.Route:
     shares: typing.Iterable[_Share] = route.split or (_Share(route.service),)
     return routes.Route(
--- a/papayaloom/platform/headers.py
+++ b/papayaloom/platform/headers.py
@@ -20,6 +20,7 @@
 _NOT_RUN = b'papayaloom-not-executed'
 _LEAVING = b'server-leaving'
 _LIMIT = b'server-limit'
+_COLD_MS = b'papayaloom-cold-remaining'
 _RETRY_AFTER = b'retry-after'
 _BEARER_PREFIX = 'Bearer '
 _IDENTIFYING = (_REQUEST_ID.lower(), _RECEIPT)
@@ -30,6 +31,8 @@
 # Caps ``Retry-After``: a replica that sends a longer pause by mistake would
 # take itself out of service.
 _MAX_PAUSE_S = 3600
+# Longer warm-ups are taken for an error.
+_MAX_COLD_MS = 600_000
 # Running, waiting and slots.
 _LOAD_COUNTS = 3
 _USUAL_PERCENT = 100
@@ -159,6 +162,7 @@
             is_leaving=found.get(_LEAVING, b'').strip() == b'1',
             pause_s=_pause_s(status, found.get(_RETRY_AFTER, b'')),
             limit_per_s=_limit_per_s(status, found.get(_LIMIT, b'')),
+            cold_s=_cold_s(status, found.get(_COLD_MS, b'')),
         )
 
     def caller_headers(
@@ -278,6 +282,17 @@
     return per_s if per_s is not None and per_s >= 0 else None
 
 
+def _cold_s(status: int, text: bytes) -> float | None:
+    """Return the rest of a replica's warm-up; None if not stated.
+
+    A misdirected request was answered by another replica.
+    """
+    cold_ms = None if status == _MISDIRECTED else _number(text)
+    if cold_ms is None or not 0 <= cold_ms <= _MAX_COLD_MS:
+        return None
+    return cold_ms / 1000
+
+
 def _number(text: bytes) -> float | None:
     """Return a finite number; None if the text is none."""
     try:
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the platform's settings file: lines of the form ``a.b=value``."""
 
+import math
 import os
 
 import msgspec
@@ -8,6 +9,7 @@
 from papayaloom.platform import documents
 from papayaloom.process import fleet_hosts, gateway_cfg, gateway_stop
 from papayaloom.routing import dispatch, replica_choice
+from papayaloom.routing.limits import cold_permits
 from papayaloom.routing.overload import budgets
 
 PATH_VARIABLE = 'PAPAYALOOM_SETTINGS'
@@ -103,6 +105,7 @@
                     factor=_number(fields, 'bounds.capFactor', 2)
                 ),
                 repeats=_retry_bound(fields),
+                warming=_cold_bound(fields),
             ),
         ),
     )
@@ -145,6 +148,25 @@
     )
 
 
+def _cold_bound(fields: dict[str, str]) -> cold_permits.Cfg | None:
+    """Return the bound for cold replicas; None if the platform sets none."""
+    if not fields.get('bounds.coldOver'):
+        return None
+    bound = cold_permits.Cfg(
+        factor=_number(fields, 'bounds.coldOver', 1),
+        slack=_number(fields, 'bounds.coldSlack', 0),
+    )
+    for name, number in (
+        ('bounds.coldOver', bound.factor),
+        ('bounds.coldSlack', bound.slack),
+    ):
+        if not 0 <= number < math.inf:
+            raise errors.SettingsError(
+                f'settings field {name}: {number} is not 0 or a positive number'
+            )
+    return bound
+
+
 def _seeds(fields: dict[str, str]) -> tuple[tuple[str, int], ...]:
     own_address = fields.get('listen.control', '')
     texts = [address.strip() for address in fields.get('seeds', '').split(',')]
--- a/papayaloom/process/dispatch_actor.py
+++ b/papayaloom/process/dispatch_actor.py
@@ -99,6 +99,15 @@
             self.record_load(replica.id, metadata.load)
         if metadata.is_leaving:
             self.tell(lambda dispatcher, _: _mark_leaving(dispatcher, replica))
+        if metadata.cold_s is not None:
+            cold_s = metadata.cold_s
+            self.tell(
+                lambda dispatcher, now: (
+                    dispatcher.cold.replicas.record_response(
+                        replica, cold_s, now
+                    )
+                )
+            )
         if metadata.pause_s is not None:
             pause_s = metadata.pause_s
             _log.info(
@@ -194,6 +203,10 @@
         attempt_result: dispatch_messages.AttemptResult,
         now: float,
     ) -> None:
+        if attempt_result.suspicion is not None:
+            dispatcher.cold.replicas.record_end(
+                dispatcher.replicas.find(attempt_result.replica), now
+            )
         for replica in dispatcher.ended(attempt_result, now):
             _log.info(
                 'dispatch: a replica is ejected',
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -16,11 +16,13 @@
 from papayaloom.ports import kv
 from papayaloom.process import dispatch_actor, feed, fleet_hosts, stored_entries
 from papayaloom.routing import dispatch, replicas
+from papayaloom.routing.limits import cold_permits, cold_replicas
 from papayaloom.routing.poison import poison_evidence
 from papayaloom.request import header_dialect
 from papayaloom.version import routes
 
 _log = structlog.get_logger('view')
+_log_dispatch = structlog.get_logger('dispatch')
 _ApplyListing = typing.Callable[[list[kv.Entry]], None]
 
 
@@ -77,6 +79,7 @@
         """Start without a route table and without entries."""
         self.table: routes.RouteTable | None = None
         self.hosts = fleet_hosts.FleetHosts(me)
+        self._me = me.name
         self._platform = platform
         self._dispatch_client = dispatch_client
         self._drop_idle = drop_idle
@@ -145,9 +148,17 @@
         """Remove entries that were not restored after a store outage."""
         self.hosts.tick(time.monotonic())
         hosts = self.hosts.count()
+        fleet = cold_permits.Fleet(
+            self._me,
+            tuple(one.name for one in self.hosts.all()),
+            self.hosts.is_registered(),
+            self.age_s(time.monotonic()),
+        )
 
         def step(dispatcher: dispatch.Dispatcher, now: float) -> None:
             dispatcher.set_fleet_size(hosts)
+            dispatcher.cold.permits.update_fleet(fleet, now)
+            _log_cold(dispatcher.cold.replicas.pop_changes())
             removed = dispatcher.replicas.tick(now)
             dispatcher.forget(removed)
             dispatcher.poison.tick(now)
@@ -244,6 +255,11 @@
         self._entries.put(self._platform.keys.routes, content)
         self._apply_limits(tables.limits)
         self.table = routes.RouteTable(tables)
+        self._dispatch_client.tell(
+            lambda dispatcher, _: dispatcher.cold.replicas.configure(
+                tables.services
+            )
+        )
         _log.info(
             'view: route table applied',
             version=tables.version,
@@ -348,6 +364,17 @@
         )
 
 
+def _log_cold(changes: typing.Iterable[cold_replicas.Change]) -> None:
+    for change in changes:
+        _log_dispatch.info(
+            'dispatch: a replica is cold',
+            replica=change.replica,
+            born=change.born,
+            seconds=change.cold_s,
+            source=change.source.value,
+        )
+
+
 def _decode_host(content: bytes) -> fleet_hosts.Host | None:
     try:
         return decoding.decode_json(content, fleet_hosts.Host)
--- a/papayaloom/request/header_dialect.py
+++ b/papayaloom/request/header_dialect.py
@@ -92,6 +92,7 @@
         requests from this host; None if not stated.
     :param limit_per_s: requests per second that the replica takes from all
         hosts together; None if it names no limit.
+    :param cold_s: rest of the warm-up of the replica; None if not stated.
     """
 
     request_id: str = ''
@@ -104,6 +105,7 @@
     is_leaving: bool = False
     pause_s: float | None = None
     limit_per_s: float | None = None
+    cold_s: float | None = None
 
 
 class HeaderDialect(typing.Protocol):
--- a/papayaloom/routing/decision_counts.py
+++ b/papayaloom/routing/decision_counts.py
@@ -10,6 +10,10 @@
     # A response that states a slow machine, and a request placed on one.
     SLOW_REPORTED = 'slow_machine_reported'
     PLACED_ON_SLOW = 'placed_on_slow_machine'
+    # A request placed on a cold replica, and one that no cold replica may get
+    # when the warm ones have no room.
+    PLACED_ON_COLD = 'placed_on_cold_replica'
+    REFUSED_COLD = 'refused_cold_replica'
 
 
 class DecisionCounts:
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -22,7 +22,12 @@
     failing_requests,
     replica_availability,
 )
-from papayaloom.routing.limits import limited_choice, rate_limits, rate_shares
+from papayaloom.routing.limits import (
+    cold_choice,
+    limited_choice,
+    rate_limits,
+    rate_shares,
+)
 from papayaloom.routing.load import (
     fleet_traffic,
     load_estimates,
@@ -49,6 +54,7 @@
     repeats: budgets.RetryBound = budgets.RetryBound()
     blaming: poison.Cfg = poison.Cfg()
     shedding: load_shedding.Cfg = load_shedding.Cfg()
+    warming: cold_choice.Bound = None
 
 
 PlacementResult = result.Result[replica_choice.Choice, errors.Problem]
@@ -66,6 +72,8 @@
         self.poison = poison_detector.PoisonDetector(cfg.blaming)
         self.rate_limits = rate_limits.RateLimits()
         self.decisions = decision_counts.DecisionCounts()
+        self.cold = cold_choice.ColdChoice(cfg.warming, rng, self.decisions)
+        self.replicas.on_entry = self.cold.replicas.record_entry
         self._rate_shares = rate_shares.RateShares(rng)
         self._cfg = cfg
         self._rng = rng
@@ -114,7 +122,14 @@
                     self._availability.pause_retry_s(ready, now),
                 )
             )
-        chosen = self._choose(request, ready, candidates, now)
+        chosen = self.cold.choose(
+            request,
+            candidates,
+            lambda allowed, is_cold: self._choose(
+                request, ready, allowed, now, is_cold=is_cold
+            ),
+            now,
+        )
         if isinstance(chosen, result.Ok):
             self._record_placement(request, chosen.ok_value, now)
         return chosen
@@ -192,6 +207,7 @@
             },
             **self._availability.dump(now),
             'rate_limits': self.rate_limits.dump(now),
+            'cold': self.cold.dump(now),
             'retries_left': self._budgets.dump(now),
             'running': self._shedder.dump(),
             'poison': self.poison.dump(),
@@ -204,11 +220,14 @@
         ready: list[replicas.Replica],
         candidates: list[replicas.Replica],
         now: float,
+        *,
+        is_cold: bool,
     ) -> PlacementResult:
         """Choose one of the candidates, unless the request is rejected."""
+        admit = cold_choice.admit if is_cold else self._shedder.admit
         estimates = self._estimates(request.service, ready, now)
         traffic = self._traffic.expected(request.service, estimates, now)
-        admitted = self._shedder.admit(
+        admitted = admit(
             _demand(request),
             load_shedding.Load(
                 candidates,
--- a/papayaloom/routing/placement_problems.py
+++ b/papayaloom/routing/placement_problems.py
@@ -28,6 +28,16 @@
     )
 
 
+def cold(service: ids.ServiceId, retry_s: float) -> errors.Problem:
+    """Return the problem for a request above what cold replicas may get."""
+    return errors.Problem(
+        'the replicas are warming up',
+        503,
+        detail=f'service {service}',
+        retry_after_s=retry_s,
+    )
+
+
 def condemned(fingerprint: ids.Fingerprint, retry_s: float) -> errors.Problem:
     """Return the problem for a request that crashes replicas.
 
--- a/papayaloom/routing/replicas.py
+++ b/papayaloom/routing/replicas.py
@@ -38,6 +38,8 @@
     :param address: host and port.
     :param slots: number of requests that it runs concurrently; 0 if unknown.
     :param born: start of its process, Unix milliseconds; 0 if unknown.
+    :param cold_s: rest of its warm-up when its entry was written; None if that
+        field is malformed.
     """
 
     id: ReplicaId
@@ -47,6 +49,7 @@
     slots: int = 0
     state: State = State.READY
     born: int = 0
+    cold_s: float | None = 0
 
     @property
     def incarnation(self) -> tuple[int, tuple[str, int]]:
@@ -60,6 +63,9 @@
     return ReplicaStart(f'{replica.id}/{replica.born}/{host}:{port}')
 
 
+OnEntry = typing.Callable[[Replica | None, Replica, bool, float], object]
+
+
 class Cfg(msgspec.Struct, frozen=True):
     """Grace periods for entries.
 
@@ -92,6 +98,10 @@
         self._removed: collections.OrderedDict[
             ReplicaId, tuple[int, tuple[str, int]]
         ] = collections.OrderedDict()
+        self._is_listed = False
+        # Called for each entry with what was known of the replica before, and
+        # whether it is a start that this router has not known.
+        self.on_entry: OnEntry = _ignore_entry
         self.lapses: lapses.Lapses[ReplicaId] = lapses.Lapses(
             cfg.lapse_s, cfg.first_lapse_s
         )
@@ -106,6 +116,7 @@
             return False
         if known is None or known.born != replica.born:
             self._first_seen[replica.id] = now
+        self.on_entry(known, replica, self._is_new_start(replica), now)
         self._known[replica.id] = self._with_announced_state(replica)
         self._removed.pop(replica.id, None)
         self.lapses.mark_present(replica.id)
@@ -162,6 +173,7 @@
             if not is_older or self._removed.get(one.id) != one.incarnation
         }
         changed = [one.id for one in entries.values() if self.update(one, now)]
+        self._is_listed = True
         absent = [one for one in self._known if one not in entries]
         return changed + [one for one in absent if self.remove(one, now)]
 
@@ -210,6 +222,19 @@
         """Return all replicas."""
         return list(self._known.values())
 
+    def _is_new_start(self, replica: Replica) -> bool:
+        """Whether an entry is of a start that this router has not known.
+
+        Not those of its first listing, and not those that return after an
+        outage of the store.
+        """
+        known = self._known.get(replica.id)
+        incarnation = known.incarnation if known else None
+        return self._is_listed and replica.incarnation not in {
+            incarnation,
+            self._removed.get(replica.id),
+        }
+
     def _with_announced_state(self, replica: Replica) -> Replica:
         """Return an entry as draining if its start announced a shutdown."""
         if replica.state is State.DRAINING:
@@ -237,3 +262,9 @@
             self._removed.popitem(last=False)
         self._first_seen.pop(replica, None)
         self.lapses.mark_present(replica)
+
+
+def _ignore_entry(
+    before: Replica | None, replica: Replica, is_new_start: bool, now: float
+) -> None:
+    """Do nothing."""
--- a/papayaloom/version/routes.py
+++ b/papayaloom/version/routes.py
@@ -72,6 +72,19 @@
     priority: int | None = None
 
 
+class Service(msgspec.Struct, frozen=True):
+    """What the operator declares of a service.
+
+    :param cold_s: warm-up of a replica after its start.
+    :param cold_per_s: requests per second that a replica tolerates from all
+        hosts together while it warms up; 0 if it needs no warm-up.
+    """
+
+    name: ids.ServiceId
+    cold_s: float = 0
+    cold_per_s: float = 0
+
+
 class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on caller requests and connections."""
 
@@ -86,12 +99,14 @@
 
     :param organisations: the organisations whose keys are accepted; None if
         requests need no key.
+    :param services: services whose replicas may need a warm-up.
     """
 
     version: int
     routes: tuple[Route, ...]
     organisations: tuple[Organisation, ...] | None = None
     limits: CallerLimits = CallerLimits()
+    services: tuple[Service, ...] = ()
 
 
 class RouteTable:
