--- a/papayaloom/routing/decision_counts.py
+++ b/papayaloom/routing/decision_counts.py
@@ -14,6 +14,10 @@
     ZONE_EVACUATED = 'zone_evacuated'
     ZONE_RETURNED = 'zone_returned'
     ALL_EVACUATED = 'rejected_all_zones_evacuated'
+    # A request placed on a cold replica, and one that no cold replica may get
+    # when the warm ones have no room.
+    PLACED_ON_COLD = 'placed_on_cold_replica'
+    REFUSED_COLD = 'refused_cold_replica'
 
 
 class DecisionCounts:
