Evacuation: lost keys, hosts cut from the store, suspended hosts; tests under load

Cause: an evacuation whose key the store lost never ended on hosts that knew it; a host that the store does not answer, though other hosts are, missed one altogether; and a suspended host placed requests by what it knew before. evacuation.feature shows each.

Change: a store that has been calm for 10 s is listed again while an evacuation is unconfirmed. With bounds.evacMs, hosts without relay poll another host while the store does not answer, and requests wait for a recent view (0.7 of the time) unless the store is known to be away. Idle connections to evacuated zones are closed.

In the model, 20 routers that hear of the key up to 2.4 s late send nothing to the zone from 2.4 s on, beside three times the traffic.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -74,3 +74,52 @@
       | not UTF-8 | op/evacuate/b       | a, b           | view: unexpected value of an evacuation |
       | {}        | op/evacuate/no/such | a, no/such     | view: no replica in an evacuated zone   |
       | {}        | op/evacuated        | a              | view: zone evacuated                    |
+
+  # Guards against an evacuation that a store without it leaves in force for ever.
+  Scenario: An evacuation that the store lost does not end when the store has been calm
+    Given a host that follows the store
+    When the store is copied, and the operator evacuates "a"
+    And the store comes back from the copy, and the host follows
+    And the store is calm for 9 s
+    Then the host holds "a" evacuated
+    When the store is calm for 11 s
+    Then the host holds "" evacuated
+
+  # Guards against requests to the zone in a burst, and against all of its prefixes moving back at once.
+  Scenario Outline: A burst reaches an evacuated zone, or its whole traffic returns at once
+    Given 20 routers that hear of changes within 2.4 s
+    When zone a is evacuated from 2 s to 8 s beside three times the traffic of <kind> requests from 3 s to 6 s
+    Then zone a gets nothing from 4.4 s to 8 s, and its share grows until it is usual at 16 s
+    And two routers agree on the prefixes that came back by 10 s
+
+    Examples:
+      | kind  |
+      | model |
+      | plain |
+
+  Scenario: Callers are sent to an evacuated zone
+    Given a forwarding router with replicas in zone a (whole) and b (whole)
+    When the operator evacuates the zones a
+    Then 30 callers of "/orders/x" get 200, and zone a gets nothing
+    When the operator evacuates the zones b
+    Then 3 callers of "/orders/x" get 503, and zone a gets nothing
+
+  # Guards against a connection that only asks whether the replica's process has ended.
+  Scenario: A request that breaks off in an evacuated zone has the replica probed
+    Given a forwarding router with replicas in zone a (whole) and b (whole)
+    When zone a is evacuated while a request that breaks off runs there
+    Then the request is answered from zone b, and zone a is not probed
+
+  Scenario Outline: A host that is cut from the store misses an evacuation
+    When one of <count> hosts, a <role>, is cut from the store
+    Then it still learns of changes from another host
+
+    Examples:
+      | count | role |
+      | 13    | root |
+      | 3     | host |
+
+  # Guards against requests that a host places by what it knew before it was suspended.
+  Scenario: A suspended host places requests by old information
+    When a host is suspended for longer than an evacuation may take
+    Then a request waits until the host has asked for changes
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -194,3 +194,15 @@
 @behave.then('the host holds "" evacuated')
 def holds_none(context):
     assert not evacuated(context), evacuated(context)
+
+
+@behave.when('the store is calm for {seconds:d} s')
+def calm(context, seconds):
+    def step(made, now):
+        made.replicas.lapses.store_failed()
+        made.replicas.lapses.store_answered(now - seconds)
+
+    context.desk.ask(step)
+    if context.view.evacuations.needs_listing(random.Random(1)):
+        context.feed.list_again()
+    context.feed.step()
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -97,6 +97,7 @@
             seeds=_seeds(fields),
             ttl_s=min(ttl_s, _MAX_TTL_S),
             lease_s=max(min_lease_s, _MIN_LEASE_S),
+            evacuation_s=_evacuation_s(fields),
             stop=gateway_stop.Cfg(longest_s=grace_s - _KILL_MARGIN_S),
             placing=dispatch.Cfg(
                 spreading=replica_choice.Cfg(
@@ -145,6 +146,11 @@
     )
 
 
+def _evacuation_s(fields: dict[str, str]) -> float | None:
+    limit_ms = _number(fields, 'bounds.evacMs', 0)
+    return limit_ms / 1000 if limit_ms > 0 else None
+
+
 def _seeds(fields: dict[str, str]) -> tuple[tuple[str, int], ...]:
     own_address = fields.get('listen.control', '')
     texts = [address.strip() for address in fields.get('seeds', '').split(',')]
--- a/papayaloom/process/dispatch_actor.py
+++ b/papayaloom/process/dispatch_actor.py
@@ -62,6 +62,8 @@
     def __init__(self, actor: pykka.ActorRef[DispatchActor]) -> None:
         """Use the given actor."""
         self._actor = actor
+        # Called before each placement; waits until the view is recent.
+        self.wait_current: typing.Callable[[], object] = _do_not_wait
         # Called when there are poison reports to send to the other hosts.
         self.on_poison_report: typing.Callable[[], object] = (
             _ignore_pending_report
@@ -71,6 +73,7 @@
         self, request: dispatch_messages.PlacementRequest
     ) -> dispatch.PlacementResult:
         """Choose the replica for an attempt."""
+        self.wait_current()
         return self.ask(lambda dispatcher, now: dispatcher.place(request, now))
 
     def ended(self, attempt_result: dispatch_messages.AttemptResult) -> None:
@@ -240,5 +243,9 @@
         )
 
 
+def _do_not_wait() -> None:
+    """Do nothing: the view is used whatever its age."""
+
+
 def _ignore_pending_report() -> None:
     """Do nothing: the reports stay queued until they are fetched."""
--- a/papayaloom/process/evacuation_entries.py
+++ b/papayaloom/process/evacuation_entries.py
@@ -3,6 +3,7 @@
 An entry's key names the zone; any value counts.
 """
 
+import random
 import typing
 
 import structlog
@@ -16,6 +17,11 @@
 _USUAL_VALUE = b'{}'
 # The rest of an unexpected value is left out of the log.
 _LOGGED_BYTES = 80
+# After this time without a failed call, a listing is not older than what is
+# known. Operators have this long to repeat an evacuation that the store lost.
+_CALM_S = 10.0
+# Part of the hosts that list the store again in a second, on average.
+_LISTING_SHARE = 0.2
 
 
 class EvacuationEntries:
@@ -104,6 +110,17 @@
 
         self._dispatch_client.ask(step)
 
+    def needs_listing(self, rng: random.Random) -> bool:
+        """Whether evacuations are to be confirmed by a listing now."""
+
+        def step(dispatcher: dispatch.Dispatcher, now: float) -> bool:
+            is_calm = dispatcher.replicas.lapses.calm_s(now) >= _CALM_S
+            return is_calm and bool(dispatcher.evacuations.unconfirmed)
+
+        return self._dispatch_client.ask(step) and (
+            rng.random() < _LISTING_SHARE
+        )
+
     def log_unknown(self, dispatcher: dispatch.Dispatcher) -> None:
         """Log evacuated zones without a known replica, each once."""
         unknown = dispatcher.evacuations.zones
--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -28,6 +28,10 @@
 _PAGE_ENTRIES = 500
 # The first listing takes a few tens of milliseconds if the store is available.
 _FIRST_LISTING_S = 0.1
+# Longer than a call takes unless the process was suspended.
+_LATE_S = 4.0
+# A relay host answers within this time if it is available.
+_CURRENT_WAIT_S = 0.5
 
 
 class Source(msgspec.Struct, frozen=True):
@@ -103,6 +107,27 @@
         self._initial_tries = 0
         self._listed = threading.Event()
         self._started_at = float('-inf')
+        self._is_listing_wanted = False
+        # When the last answered call began; what it told is not older.
+        self._informed_at = float('-inf')
+        self._called = threading.Condition()
+
+    def list_again(self) -> None:
+        """List the sources with the next call."""
+        self._is_listing_wanted = True
+
+    def wait_current(self, max_age_s: float) -> None:
+        """Wait until what is known is recent, for a limited time.
+
+        Returns at once while the store is unavailable: then the last known
+        state applies. A process that was suspended does not know that yet.
+        """
+        if self._is_current(max_age_s):
+            return
+        with self._called:
+            self._called.wait_for(
+                lambda: self._is_current(max_age_s), _CURRENT_WAIT_S
+            )
 
     def wait_listed(self) -> bool:
         """Wait for the first listing, until it is overdue.
@@ -127,7 +152,8 @@
         :raises papayaloom.errors.StoreUnavailableError: the store is
             unavailable.
         """
-        if self._position is None:
+        if self._position is None or self._is_listing_wanted:
+            self._is_listing_wanted = False
             self._position = self._list()
             return
         before = self._position
@@ -146,6 +172,7 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
+            begun_at = time.monotonic()
             try:
                 self.step()
             except errors.StoreUnavailableError as exc:
@@ -163,8 +190,9 @@
                 self._position = None
                 self._stopping.wait(_RETRY_S)
                 continue
-            self._record_answer()
-            if self._position is not None:
+            self._record_answer(begun_at)
+            is_late = time.monotonic() - begun_at > _LATE_S
+            if self._position is not None and not is_late:
                 self._stopping.wait(_POLL_PAUSE_S)
 
     def _retry_s(self) -> float:
@@ -173,15 +201,24 @@
         self._initial_tries += 1
         return _INITIAL_RETRY_S * max(1, self._initial_tries / _INITIAL_RETRIES)
 
-    def _record_answer(self) -> None:
+    def _is_current(self, max_age_s: float) -> bool:
+        age_s = time.monotonic() - self._informed_at
+        return self.is_store_unavailable or age_s <= max_age_s
+
+    def _record_answer(self, begun_at: float) -> None:
         if self.is_store_unavailable:
             self.is_store_unavailable = False
             _log.info('feed: the store is available again')
         self._health.on_answer()
+        with self._called:
+            self._informed_at = begun_at
+            self._called.notify_all()
 
     def _record_failure(self, exc: errors.StoreUnavailableError) -> None:
         if not self.is_store_unavailable:
-            self.is_store_unavailable = True
+            with self._called:
+                self.is_store_unavailable = True
+                self._called.notify_all()
             _log.warning('feed: the store is unavailable', reason=str(exc))
         self._health.on_failure()
         if self._position is None:
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -1,6 +1,7 @@
 """A forwarding router process: components, threads and graceful stop."""
 
 import contextlib
+import functools
 import random
 import threading
 import time
@@ -55,6 +56,9 @@
 _IDLE_MARGIN_S = 10
 # Assumed number of hosts in the fleet until they have been listed.
 _INITIAL_HOSTS = 6
+# Share of the time for an evacuation after which a view is too old to place by;
+# in the rest, a change may have been on its way through relay hosts (1.2 s).
+_MAX_VIEW_AGE_SHARE = 0.7
 # Statuses for logs and metrics only; they are never sent to a caller.
 _STATUS_CALLER_GONE = 499
 _STATUS_ABORTED = 599
@@ -106,6 +110,7 @@
             self.dispatch_client,
             self._view.describe,
             self._rng,
+            asks_peers=cfg.evacuation_s is not None,
         )
         self._feed = feed.Feed(
             store,
@@ -143,6 +148,10 @@
             self._rng,
         )
         self.dispatch_client.on_poison_report = self._reporter.wake
+        if cfg.evacuation_s is not None:
+            self.dispatch_client.wait_current = functools.partial(
+                self._feed.wait_current, cfg.evacuation_s * _MAX_VIEW_AGE_SHARE
+            )
         self._timers = timers.Timers(self._clock)
         self._front = self._listen(
             cfg.addresses.callers, self._handle, _CALLER_THREADS
@@ -341,6 +350,8 @@
     def _sweep(self) -> None:
         self._pool.close_expired()
         self._view.tick()
+        if self._view.evacuations.needs_listing(self._rng):
+            self._feed.list_again()
         for one in self._servers.values():
             one.trim()
 
--- a/papayaloom/process/gateway_cfg.py
+++ b/papayaloom/process/gateway_cfg.py
@@ -24,6 +24,8 @@
     :param ttl_s: time for which callers may cache a directory response.
     :param lease_s: time without a renewal after which a host is no longer
         listed in the directory.
+    :param evacuation_s: time within which nothing more is sent to an evacuated
+        zone; None if that is not promised.
     """
 
     host: fleet_hosts.Host
@@ -31,5 +33,6 @@
     seeds: tuple[tuple[str, int], ...] = ()
     ttl_s: float = 1
     lease_s: float = 1.2
+    evacuation_s: float | None = None
     stop: gateway_stop.Cfg = gateway_stop.Cfg()
     placing: dispatch.Cfg = dispatch.Cfg()
--- a/papayaloom/process/relay_watch.py
+++ b/papayaloom/process/relay_watch.py
@@ -54,6 +54,8 @@
     """Source of store changes for the feed; thread-safe.
 
     :param me: name of this host.
+    :param asks_peers: whether a host that watches the store itself asks others
+        while the store does not answer it.
     """
 
     def __init__(
@@ -64,6 +66,8 @@
         requests: RequestCounter,
         describe: typing.Callable[[str, bytes], object],
         rng: random.Random,
+        *,
+        asks_peers: bool = False,
     ) -> None:
         """Prepare the client; no connection is opened yet."""
         self._store = store
@@ -72,6 +76,7 @@
         self._requests = requests
         self._relay = relay.Relay(describe)
         self._rng = rng
+        self._asks_peers = asks_peers
         # Earliest time of the next call to the store.
         self._store_retry_at = float('-inf')
         self._lock = threading.Lock()
@@ -106,10 +111,7 @@
             raise errors.StoreUnavailableError(
                 'no relay host answered, and the store is in retry backoff'
             )
-        is_direct = plan.role is relay_plan.Role.ALONE
-        watched = self._watch_store(
-            position, _DIRECT_WAIT_S if is_direct else _RELAY_WAIT_S
-        )
+        watched = self._watch_directly(plan, position)
         if is_root:
             reached = kv.Position(watched.revision, watched.epoch)
             self._exchange_totals(reached, plan.peers)
@@ -142,6 +144,25 @@
             name for name, until in self._avoided_until.items() if until > now
         }
 
+    def _watch_directly(
+        self, plan: relay_plan.Plan, position: kv.Position
+    ) -> kv.WatchResult:
+        """Watch the store, or ask another host while it does not answer."""
+        is_in_backoff = time.monotonic() < self._store_retry_at
+        answered = self._ask_peer(plan, position) if is_in_backoff else None
+        if answered is not None:
+            return answered
+        is_direct = plan.role is relay_plan.Role.ALONE
+        try:
+            return self._watch_store(
+                position, _DIRECT_WAIT_S if is_direct else _RELAY_WAIT_S
+            )
+        except errors.StoreUnavailableError:
+            answered = self._ask_peer(plan, position)
+            if answered is None:
+                raise
+            return answered
+
     def _watch_store(
         self, position: kv.Position, wait_s: float
     ) -> kv.WatchResult:
@@ -162,8 +183,29 @@
             self._relay.publish(position, watched, time.monotonic())
         return watched
 
+    def _ask_peer(
+        self, plan: relay_plan.Plan, position: kv.Position
+    ) -> kv.WatchResult | None:
+        """Poll another host instead of the store; None without an answer."""
+        if plan.sources or not self._asks_peers:
+            return None
+        avoided = {self._me, *self._avoided_hosts()}
+        peers = plan.peers or [
+            one
+            for one in self._hosts.all()
+            if one.control and one.name not in avoided
+        ]
+        if not peers:
+            return None
+        is_root = plan.role is relay_plan.Role.ROOT
+        return self._poll(self._rng.choice(peers), position, is_root=is_root)
+
     def _poll(
-        self, host: fleet_hosts.Host, position: kv.Position
+        self,
+        host: fleet_hosts.Host,
+        position: kv.Position,
+        *,
+        is_root: bool = False,
     ) -> kv.WatchResult | None:
         """Poll a relay host, and keep its changes for followers of this one."""
         asked_at = time.monotonic()
@@ -174,6 +216,7 @@
                 self._me,
                 position.revision,
                 self._relay.subtotal(own, asked_at),
+                is_root,
                 heard=self._relay.reporting_hosts(asked_at),
                 limits=limits,
                 epoch=position.epoch,
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -95,7 +95,7 @@
         self._is_next_listing_older = False
         self._answered_at = float('-inf')
         self._entries = stored_entries.StoredEntries()
-        self._evacuations = evacuation_entries.EvacuationEntries(
+        self.evacuations = evacuation_entries.EvacuationEntries(
             platform.keys.evacuations, dispatch_client, self._entries
         )
 
@@ -168,8 +168,11 @@
             removed = dispatcher.replicas.tick(now)
             dispatcher.forget(removed)
             dispatcher.poison.tick(now)
-            self._evacuations.log_unknown(dispatcher)
+            self.evacuations.log_unknown(dispatcher)
             self._close_idle(removed)
+            self._close_idle(
+                dispatcher.evacuations.idle(dispatcher.replicas.dump())
+            )
 
         self._dispatch_client.tell(step)
 
@@ -208,7 +211,7 @@
         return {
             keys.routes: self._apply_routes_listing,
             # Before the replicas, so that none is used in an evacuated zone.
-            keys.evacuations: lambda entries: self._evacuations.replace(
+            keys.evacuations: lambda entries: self.evacuations.replace(
                 entries,
                 is_older=self._is_next_listing_older,
                 is_snapshot=not self._is_listed,
@@ -240,7 +243,7 @@
         elif key.startswith(keys.poison):
             self._apply_poison(key, content)
         elif key.startswith(keys.evacuations):
-            self._evacuations.update(key, content)
+            self.evacuations.update(key, content)
 
     def _apply_removal(self, key: str) -> None:
         keys = self._platform.keys
@@ -252,7 +255,7 @@
             _log.info('view: host removed', host=name)
             self.hosts.remove(name, time.monotonic())
         elif key.startswith(keys.evacuations):
-            self._evacuations.remove(key)
+            self.evacuations.remove(key)
 
     def _apply_routes_listing(self, entries: list[kv.Entry]) -> None:
         key = self._platform.keys.routes
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -101,8 +101,11 @@
             )
         listed = self.replicas.ready(request.service, now)
         ready = self.evacuations.in_service(listed)
+        if listed and not ready:
+            self.decisions.add(decision_counts.Decision.ALL_EVACUATED)
+            return result.Err(placement_problems.evacuated(request.service))
         if not ready:
-            return result.Err(self._no_ready(request.service, listed))
+            return result.Err(placement_problems.unavailable(request.service))
         self._availability.ejections(request.service).update_upstreams(
             one.id for one in ready
         )
@@ -207,18 +210,6 @@
             'decisions': self.decisions.dump(),
         }
 
-    def _no_ready(
-        self, service: ids.ServiceId, listed: list[replicas.Replica]
-    ) -> errors.Problem:
-        """Return why no replica of a service is in use.
-
-        :param listed: replicas that accept requests, in any zone.
-        """
-        if not listed:
-            return placement_problems.unavailable(service)
-        self.decisions.add(decision_counts.Decision.ALL_EVACUATED)
-        return placement_problems.evacuated(service)
-
     def _choose(
         self,
         request: dispatch_messages.PlacementRequest,
@@ -387,15 +378,9 @@
             if self._availability.is_reachable(one.id, now)
         ]
         recently_started = self.replicas.recently_started(request.service, now)
-        # The caches of a returned zone are empty too.
-        recently_returned = self.evacuations.recently_returned(
-            prefix_holders, self._cfg.lapses.newcomer_s, now
-        )
+        recently_started |= self.evacuations.uncached(prefix_holders, now)
         return replica_choice.Eligible(
-            candidates,
-            prefix_holders,
-            recently_started | recently_returned,
-            limited,
+            candidates, prefix_holders, recently_started, limited
         )
 
 
--- a/papayaloom/routing/health/evacuations.py
+++ b/papayaloom/routing/health/evacuations.py
@@ -16,6 +16,8 @@
 
 # Time in which the replicas of a returned zone get back all their prefixes.
 _RAMP_S = 5.0
+# Time from the return in which replicas are no source of prompt caches.
+_UNCACHED_S = 8.0
 # Longer than any replica stays cold after the return.
 _REMEMBERED_S = 600.0
 _HASHES = 2**64
@@ -110,6 +112,14 @@
             return listed
         return [one for one in listed if one.zone not in self._evacuated_at]
 
+    def idle(
+        self, listed: typing.Iterable[replicas.Replica]
+    ) -> list[replicas.ReplicaId]:
+        """Return the replicas to which no connection is kept."""
+        if not self._evacuated_at:
+            return []
+        return [one.id for one in listed if one.zone in self._evacuated_at]
+
     def ramped(
         self,
         candidates: list[replicas.Replica],
@@ -135,17 +145,14 @@
             one for one in candidates if one.zone not in excluded
         ] or candidates
 
-    def recently_returned(
-        self,
-        listed: typing.Iterable[replicas.Replica],
-        age_s: float,
-        now: float,
+    def uncached(
+        self, listed: typing.Iterable[replicas.Replica], now: float
     ) -> frozenset[str]:
-        """Return the replicas whose zone returned less than a time ago."""
+        """Return the replicas that have little cached since the return."""
         zones = {
-            one
-            for one in self._returned_at
-            if self.returned_s(one, now) < age_s
+            zone
+            for zone in self._returned_at
+            if self.returned_s(zone, now) < _UNCACHED_S
         }
         return frozenset(one.id for one in listed if one.zone in zones)
 
--- a/papayaloom/routing/health/lapses.py
+++ b/papayaloom/routing/health/lapses.py
@@ -43,6 +43,10 @@
         if self._recovered_at is None:
             self._recovered_at = now
 
+    def calm_s(self, now: float) -> float:
+        """Return the time since the store answers; 0 while it does not."""
+        return 0 if self._recovered_at is None else now - self._recovered_at
+
     def may_be_lapsed(self, key: _Key, now: float) -> bool:
         """Tell whether a removal may be a lapse; if so, track the entry."""
         grace_s = self._grace_s
