--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -14,15 +14,20 @@
 
 from papayaloom import decoding, errors
 from papayaloom.ports import kv
-from papayaloom.process import dispatch_actor, feed, fleet_hosts, stored_entries
+from papayaloom.process import (
+    cold_updates,
+    dispatch_actor,
+    evacuation_entries,
+    feed,
+    fleet_hosts,
+    stored_entries,
+)
 from papayaloom.routing import dispatch, replicas
-from papayaloom.routing.limits import cold_permits, cold_replicas
 from papayaloom.routing.poison import poison_evidence
 from papayaloom.request import header_dialect
 from papayaloom.version import routes
 
 _log = structlog.get_logger('view')
-_log_dispatch = structlog.get_logger('dispatch')
 _ApplyListing = typing.Callable[[list[kv.Entry]], None]
 
 
@@ -33,12 +38,14 @@
     :param replicas: key prefix of the replicas.
     :param hosts: key prefix of the hosts of this fleet.
     :param poison: key prefix of this fleet's reports of poison requests.
+    :param evacuations: key prefix of the evacuated zones.
     """
 
     routes: str
     replicas: str
     hosts: str
     poison: str
+    evacuations: str
 
 
 class PlatformAdapter(msgspec.Struct, frozen=True):
@@ -90,6 +97,9 @@
         self._is_next_listing_older = False
         self._answered_at = float('-inf')
         self._entries = stored_entries.StoredEntries()
+        self._evacuations = evacuation_entries.EvacuationEntries(
+            platform.keys.evacuations, dispatch_client, self._entries
+        )
 
     @property
     def version(self) -> int:
@@ -109,9 +119,15 @@
         )
 
     def describe(self, key: str, content: bytes) -> object:
-        """Return an entry's content without its heartbeat counters."""
+        """Return an entry's content without its heartbeat counters.
+
+        None means that every change counts: an evacuation that is written again
+        after a removal which the relay missed has the content that it had.
+        """
         if key.startswith(self._platform.keys.replicas):
             return self._platform.replica(key, content)
+        if key.startswith(self._platform.keys.evacuations):
+            return None
         return content
 
     def age_s(self, now: float) -> float:
@@ -146,22 +162,19 @@
 
     def tick(self) -> None:
         """Remove entries that were not restored after a store outage."""
-        self.hosts.tick(time.monotonic())
-        hosts = self.hosts.count()
-        fleet = cold_permits.Fleet(
-            self._me,
-            tuple(one.name for one in self.hosts.all()),
-            self.hosts.is_registered(),
-            self.age_s(time.monotonic()),
+        now = time.monotonic()
+        self.hosts.tick(now)
+        cold_updates.update_fleet(
+            self._dispatch_client, self._me, self.hosts, self.age_s(now)
         )
+        hosts = self.hosts.count()
 
         def step(dispatcher: dispatch.Dispatcher, now: float) -> None:
             dispatcher.set_fleet_size(hosts)
-            dispatcher.cold.permits.update_fleet(fleet, now)
-            _log_cold(dispatcher.cold.replicas.pop_changes())
             removed = dispatcher.replicas.tick(now)
             dispatcher.forget(removed)
             dispatcher.poison.tick(now)
+            self._evacuations.log_unknown(dispatcher)
             self._close_idle(removed)
 
         self._dispatch_client.tell(step)
@@ -200,6 +213,12 @@
         keys = self._platform.keys
         return {
             keys.routes: self._apply_routes_listing,
+            # Before the replicas, so that none is used in an evacuated zone.
+            keys.evacuations: lambda entries: self._evacuations.replace(
+                entries,
+                is_older=self._is_next_listing_older,
+                is_snapshot=not self._is_listed,
+            ),
             keys.replicas: self._apply_replicas_listing,
             keys.hosts: self._apply_hosts_listing,
             keys.poison: self._apply_poison_listing,
@@ -226,6 +245,8 @@
                 self.hosts.update(host)
         elif key.startswith(keys.poison):
             self._apply_poison(key, content)
+        elif key.startswith(keys.evacuations):
+            self._evacuations.update(key, content)
 
     def _apply_removal(self, key: str) -> None:
         keys = self._platform.keys
@@ -236,6 +257,8 @@
             name = key.removeprefix(keys.hosts)
             _log.info('view: host removed', host=name)
             self.hosts.remove(name, time.monotonic())
+        elif key.startswith(keys.evacuations):
+            self._evacuations.remove(key)
 
     def _apply_routes_listing(self, entries: list[kv.Entry]) -> None:
         key = self._platform.keys.routes
@@ -255,11 +278,7 @@
         self._entries.put(self._platform.keys.routes, content)
         self._apply_limits(tables.limits)
         self.table = routes.RouteTable(tables)
-        self._dispatch_client.tell(
-            lambda dispatcher, _: dispatcher.cold.replicas.configure(
-                tables.services
-            )
-        )
+        cold_updates.configure(self._dispatch_client, tables)
         _log.info(
             'view: route table applied',
             version=tables.version,
@@ -364,17 +383,6 @@
         )
 
 
-def _log_cold(changes: typing.Iterable[cold_replicas.Change]) -> None:
-    for change in changes:
-        _log_dispatch.info(
-            'dispatch: a replica is cold',
-            replica=change.replica,
-            born=change.born,
-            seconds=change.cold_s,
-            source=change.source.value,
-        )
-
-
 def _decode_host(content: bytes) -> fleet_hosts.Host | None:
     try:
         return decoding.decode_json(content, fleet_hosts.Host)
--- a/papayaloom/routing/decision_counts.py
+++ b/papayaloom/routing/decision_counts.py
@@ -14,6 +14,10 @@
     # when the warm ones have no room.
     PLACED_ON_COLD = 'placed_on_cold_replica'
     REFUSED_COLD = 'refused_cold_replica'
+    # A zone taken out of service or back, and a request without another zone.
+    ZONE_EVACUATED = 'zone_evacuated'
+    ZONE_RETURNED = 'zone_returned'
+    ALL_EVACUATED = 'rejected_all_zones_evacuated'
 
 
 class DecisionCounts:
