--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -24,12 +24,8 @@
     failing_requests,
     replica_availability,
 )
-from papayaloom.routing.limits import (
-    cold_choice,
-    limited_choice,
-    rate_limits,
-    rate_shares,
-)
+from papayaloom.routing.limits import cold_choice
+from papayaloom.routing.limits import limited_choice, rate_limits, rate_shares
 from papayaloom.routing.load import (
     fleet_traffic,
     load_estimates,
@@ -139,9 +135,7 @@
         chosen = self.cold.choose(
             request,
             candidates,
-            lambda allowed, is_cold: self._choose(
-                request, ready, allowed, now, is_cold=is_cold
-            ),
+            lambda among, cold: self._choose(request, ready, among, cold, now),
             now,
         )
         if isinstance(chosen, result.Ok):
@@ -265,9 +259,8 @@
         request: dispatch_messages.PlacementRequest,
         ready: list[replicas.Replica],
         candidates: list[replicas.Replica],
-        now: float,
-        *,
         is_cold: bool,
+        now: float,
     ) -> PlacementResult:
         """Choose one of the candidates, unless the request is rejected."""
         admit = cold_choice.admit if is_cold else self._shedder.admit
