Hedging: a second copy of a request whose response is late

A few slow replicas determine the slowest responses of a route, since an attempt waits for its replica until a timeout.

Change: hedging.extraPercent (or PAPAYALOOM_HEDGING_EXTRA_PERCENT), default 0. routing/overload/hedging.py has the delay, the budget and the room, without I/O; process/hedged_exchange.py polls the connections of both copies and that of the caller on the request's thread. Hedges spend what does not fit into the bucket of the retries.

--- a/papayaloom/connection/upstream_connection.py
+++ b/papayaloom/connection/upstream_connection.py
@@ -6,6 +6,7 @@
 connection is a plain socket with h11, a sans-I/O parser for HTTP/1.1.
 """
 
+import collections
 import select
 import socket
 import time
@@ -24,7 +25,7 @@
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_PROBES = 2
 _USER_TIMEOUT_MS = 2500
-_CALLER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+CALLER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _READ_WRITE_EVENTS = select.POLLIN | select.POLLOUT
 _READABLE_EVENTS = select.POLLIN | select.POLLHUP | select.POLLERR
 
@@ -80,6 +81,10 @@
         self._informational_responses = 0
         self._parser = self._new_parser()
         self._unsent_bytes = b''
+        # What was read before it was asked for.
+        self._ahead: collections.deque[Event | errors.UpstreamError] = (
+            collections.deque()
+        )
         try:
             self._sock = socket.create_connection(address, timeout=connect_s)
         except OSError as exc:
@@ -154,7 +159,9 @@
 
         :returns: whether the connection can be reused.
         """
-        if self.is_last or self._unsent_bytes or self._parser.trailing_bytes:
+        if self.is_last or self._unsent_bytes or self._ahead:
+            return False
+        if self._parser.trailing_bytes:
             return False
         if not self._parser.start_next_message():
             return False
@@ -168,17 +175,55 @@
         poll.register(self._sock, select.POLLIN | select.POLLRDHUP)
         return not poll.poll(0)
 
+    def fileno(self) -> int:
+        """Return the file descriptor of the socket."""
+        return self._sock.fileno()
+
+    @property
+    def awaited_events(self) -> int:
+        """Events of the socket to poll for."""
+        return _READ_WRITE_EVENTS if self._unsent_bytes else select.POLLIN
+
+    def read_ahead(
+        self, ready_events: int
+    ) -> list[Event | errors.UpstreamError]:
+        """Read what has arrived, up to the end of a response.
+
+        It remains to be received; an error is raised only then.
+
+        :param ready_events: events of the socket.
+        :returns: what was added.
+        """
+        added: list[Event | errors.UpstreamError] = []
+        try:
+            self._handle_io(ready_events)
+            while not (added and isinstance(added[-1], h11.EndOfMessage)):
+                event = self._next_event()
+                if event is None:
+                    break
+                added.append(event)
+        except errors.UpstreamError as exc:
+            added.append(exc)
+        self._ahead.extend(added)
+        return added
+
     def close(self) -> None:
         """Close the connection; a replica aborts a request in progress."""
         self._sock.close()
 
     def _receive(self, until: float, caller_fd: int) -> Event:
         while True:
-            event = self._next_event()
+            event = self._take_ahead() if self._ahead else self._next_event()
             if event is not None:
                 return event
             self._wait_for_io(until, caller_fd)
 
+    def _take_ahead(self) -> Event:
+        event = self._ahead.popleft()
+        if isinstance(event, errors.UpstreamError):
+            raise event
+        return event
+
     def _next_event(self) -> Event | None:
         """Return the next parsed event; None if more data is needed."""
         while True:
@@ -211,19 +256,18 @@
 
     def _wait_for_io(self, until: float, caller_fd: int) -> None:
         poll = select.poll()
-        poll.register(
-            self._sock,
-            _READ_WRITE_EVENTS if self._unsent_bytes else select.POLLIN,
-        )
+        poll.register(self._sock, self.awaited_events)
         if caller_fd >= 0:
             poll.register(caller_fd, select.POLLRDHUP)
         left = until - time.monotonic()
         if left <= 0:
             raise ResponseTimeoutError('the time for an answer has passed')
         ready = dict(poll.poll(left * 1000 + 1))
-        if ready.get(caller_fd, 0) & _CALLER_CLOSED_EVENTS:
+        if ready.get(caller_fd, 0) & CALLER_CLOSED_EVENTS:
             raise CallerDisconnectedError('the caller closed its connection')
-        ready_events = ready.get(self._sock.fileno(), 0)
+        self._handle_io(ready.get(self._sock.fileno(), 0))
+
+    def _handle_io(self, ready_events: int) -> None:
         if ready_events & select.POLLOUT:
             self._write()
         if ready_events & _READABLE_EVENTS:
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -1,6 +1,8 @@
 """Reads the platform's settings file: lines of the form ``a.b=value``."""
 
+import contextlib
 import os
+import typing
 
 import msgspec
 
@@ -8,9 +10,12 @@
 from papayaloom.platform import documents
 from papayaloom.process import fleet_hosts, gateway_cfg, gateway_stop
 from papayaloom.routing import dispatch, replica_choice
-from papayaloom.routing.overload import budgets
+from papayaloom.routing.overload import budgets, hedging
 
 PATH_VARIABLE = 'PAPAYALOOM_SETTINGS'
+# Overrides the field of the settings file.
+HEDGING_VARIABLE = 'PAPAYALOOM_HEDGING_EXTRA_PERCENT'
+_HEDGING_FIELD = 'hedging.extraPercent'
 METRICS_PORT = 9464
 # The process exits this long before the platform kills it.
 _KILL_MARGIN_S = 0.45
@@ -41,7 +46,7 @@
             fields = parse(lines.read())
     except OSError as exc:
         raise errors.SettingsError(f'settings file {path}: {exc}') from exc
-    return from_fields(fields)
+    return from_fields(overridden(fields, os.environ))
 
 
 def path_from_environment() -> str:
@@ -103,6 +108,7 @@
                     factor=_number(fields, 'bounds.capFactor', 2)
                 ),
                 repeats=_retry_bound(fields),
+                hedges=hedging.Cfg(extra_percent=_hedging_percent(fields)),
             ),
         ),
     )
@@ -145,6 +151,26 @@
     )
 
 
+def overridden(
+    fields: dict[str, str], environ: typing.Mapping[str, str]
+) -> dict[str, str]:
+    """Return the fields with the values of environment variables."""
+    text = environ.get(HEDGING_VARIABLE, '')
+    return {**fields, _HEDGING_FIELD: text} if text else fields
+
+
+def _hedging_percent(fields: dict[str, str]) -> float:
+    text = fields.get(_HEDGING_FIELD, '') or '0'
+    limit = hedging.MAX_EXTRA_PERCENT
+    with contextlib.suppress(ValueError):
+        if 0 <= float(text) <= limit:
+            return float(text)
+    raise errors.SettingsError(
+        f'settings field {_HEDGING_FIELD} (or {HEDGING_VARIABLE}): {text!r} '
+        f'is not a number from 0 to {limit}'
+    )
+
+
 def _seeds(fields: dict[str, str]) -> tuple[tuple[str, int], ...]:
     own_address = fields.get('listen.control', '')
     texts = [address.strip() for address in fields.get('seeds', '').split(',')]
--- a/papayaloom/process/forward_attempt.py
+++ b/papayaloom/process/forward_attempt.py
@@ -4,6 +4,7 @@
 """
 
 import time
+import typing
 
 import h11
 import result
@@ -49,7 +50,9 @@
         self._limits = limits
         self._buffer = buffer
         # Monotonic time at which the current wait times out.
-        self._wait_deadline = time.monotonic()
+        self.wait_deadline = time.monotonic()
+        # Called before the first byte of the response goes to the caller.
+        self.on_first_byte: typing.Callable[[], object] = _do_nothing
         self._initial_progress = job.joiner.progress
 
     @property
@@ -67,14 +70,34 @@
         :raises upstream_connection.CallerDisconnectedError: the caller
             disconnected.
         """
+        return self.receive(self.send())
+
+    def send(self) -> upstream_connection.RequestHead:
+        """Send the request, and return its head.
+
+        :raises papayaloom.errors.UpstreamError: the connection broke.
+        """
         head = self._request_head()
+        self.await_response(self._job.progress)
         self._conn.send(head, self._job.inbound.body)
         self._conn.set_byte_limit(self._limits.answer)
+        return head
+
+    def await_response(self, progress: forwarding.Progress) -> None:
+        """Begin the wait for the response."""
         self._set_wait(
             forwarding.response_timeout_s(
-                self._job.route, self._job.progress, self._job.remaining_s()
+                self._job.route, progress, self._job.remaining_s()
             )
         )
+
+    def receive(self, head: upstream_connection.RequestHead) -> Outcome:
+        """Receive the response and forward it.
+
+        Raises like :meth:`run`.
+
+        :param head: head of the request that was sent.
+        """
         response, metadata = self._receive_matching_response(head)
         if metadata.is_not_run:
             self._skip_body()
@@ -112,7 +135,7 @@
         """
         for _ in range(self._limits.foreign_responses + 1):
             response = self._conn.receive_head(
-                self._wait_deadline, self._job.inbound.caller_fd
+                self.wait_deadline, self._job.inbound.caller_fd
             )
             metadata = self._dialect.read_answer(
                 response.status_code, list(response.headers.raw_items())
@@ -169,6 +192,7 @@
         if job.progress.has_begun:
             reason = f'the stream went on with {buffered.status}'
             return _failed(_MAY_HAVE_RUN, reason)
+        self.on_first_byte()
         forward_job.deliver(job, buffered)
         return result.Ok(buffered.status)
 
@@ -245,6 +269,7 @@
         )
 
     def _begin_response(self, response: h11.Response) -> None:
+        self.on_first_byte()
         self._job.progress.has_begun = True
         headers = self._caller_headers(response)
         try:
@@ -258,11 +283,11 @@
         return self._dialect.caller_headers(list(response.headers.raw_items()))
 
     def _set_wait(self, seconds: float) -> None:
-        self._wait_deadline = time.monotonic() + seconds
+        self.wait_deadline = time.monotonic() + seconds
 
     def _receive_part(self) -> bytes | None:
         return self._conn.receive_part(
-            self._wait_deadline, self._job.inbound.caller_fd
+            self.wait_deadline, self._job.inbound.caller_fd
         )
 
     def _read_body(self) -> bytearray:
@@ -280,6 +305,10 @@
             part = self._receive_part()
 
 
+def _do_nothing() -> None:
+    """Do nothing: no other copy of the request runs."""
+
+
 def _failed(
     verdict: errors.Verdict, reason: str, *, replica_failed: bool | None = None
 ) -> Outcome:
--- a/papayaloom/process/forward_job.py
+++ b/papayaloom/process/forward_job.py
@@ -67,6 +67,7 @@
     :param process_ended: the replica's process ended during the attempt.
     :param has_begun: the response had gone beyond its first event.
     :param is_error_response: the replica answered with an error status.
+    :param replica: the replica if it is not the one of the first copy.
     """
 
     verdict: errors.Verdict
@@ -76,6 +77,7 @@
     process_ended: bool = False
     has_begun: bool = False
     is_error_response: bool = False
+    replica: replicas.ReplicaId | None = None
 
 
 def count_failure(progress: forwarding.Progress, failure: Failure) -> None:
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -5,6 +5,7 @@
 """
 
 import time
+import typing
 
 import msgspec
 import result
@@ -20,13 +21,19 @@
     upstream_connection,
     wasted_work,
 )
-from papayaloom.process import dispatch_actor, forward_attempt, forward_job
+from papayaloom.process import (
+    dispatch_actor,
+    forward_attempt,
+    forward_job,
+    hedged_exchange,
+)
 from papayaloom.routing import (
     dispatch,
     dispatch_messages,
     replica_choice,
     replicas,
 )
+from papayaloom.routing.overload import hedging
 from papayaloom.routing.poison import poison_evidence
 from papayaloom.request import forwarding, header_dialect
 
@@ -37,7 +44,10 @@
 
 
 class Dependencies(msgspec.Struct, frozen=True):
-    """Components that the forwarder uses."""
+    """Components that the forwarder uses.
+
+    :param hedge_delays: None if requests are not hedged.
+    """
 
     dispatch_client: dispatch_actor.DispatchClient
     dialect: header_dialect.HeaderDialect
@@ -49,6 +59,7 @@
     waste: wasted_work.WastedWork = msgspec.field(
         default_factory=wasted_work.WastedWork
     )
+    hedge_delays: hedging.HedgeDelays | None = None
 
 
 class Forwarder:
@@ -57,6 +68,13 @@
     def __init__(self, deps: Dependencies) -> None:
         """Use the given components."""
         self._deps = deps
+        self._copy_steps = hedged_exchange.CopySteps(
+            self._place,
+            self._connect,
+            self._new_attempt,
+            self._complete,
+            self._report_outcome,
+        )
 
     @property
     def buffered_bytes(self) -> int:
@@ -99,7 +117,11 @@
                     job, forward_job.failure_problem(job, failure)
                 )
 
-    def _place(self, job: forward_job.Job) -> dispatch.PlacementResult:
+    def _place(
+        self,
+        job: forward_job.Job,
+        hedge_of: replicas.ReplicaId | None = None,
+    ) -> dispatch.PlacementResult:
         request = dispatch_messages.PlacementRequest(
             service=job.service,
             prefix=forward_job.shared_prefix(job),
@@ -111,6 +133,7 @@
             objective_s=job.route.objective_s,
             left_s=job.remaining_s(),
             parts=forward_job.shared_parts(job),
+            hedge_of=hedge_of,
         )
         return self._deps.dispatch_client.place(request)
 
@@ -119,6 +142,11 @@
     ) -> forward_attempt.Outcome:
         replica = choice.replica
         job.tried.add(replica.id)
+        delays = self._deps.hedge_delays
+        if delays is not None and hedged_exchange.is_allowed(job):
+            return hedged_exchange.HedgedExchange(
+                job, self._copy_steps, delays
+            ).run(choice)
         started_at = time.monotonic()
         try:
             outcome = self._exchange(job, choice)
@@ -144,8 +172,18 @@
                 forward_job.Failure(_NOT_RUN, str(exc), is_unreachable=True)
             )
         attempt = self._new_attempt(job, choice, conn)
+        return self._complete(replica, conn, attempt, attempt.run)
+
+    def _complete(
+        self,
+        replica: replicas.Replica,
+        conn: upstream_connection.UpstreamConnection,
+        attempt: forward_attempt.Attempt,
+        exchange: typing.Callable[[], forward_attempt.Outcome],
+    ) -> forward_attempt.Outcome:
+        """Run an exchange to its end, and reuse or close its connection."""
         try:
-            outcome = attempt.run()
+            outcome = exchange()
         except errors.UpstreamError as exc:
             conn.close()
             self._deps.waste.record(
@@ -192,13 +230,16 @@
         )
 
     def _connect(
-        self, job: forward_job.Job, replica: replicas.Replica
+        self,
+        job: forward_job.Job,
+        replica: replicas.Replica,
+        connect_s: float = upstream_connection.CONNECT_S,
     ) -> upstream_connection.UpstreamConnection:
         conn = self._deps.pool.acquire(
             replica.id, fresh=not job.route.is_repeatable
         )
         return conn or upstream_connection.UpstreamConnection(
-            replica.address, self._deps.limits
+            replica.address, self._deps.limits, connect_s
         )
 
     def _report_outcome(
@@ -207,6 +248,7 @@
         replica: replicas.Replica,
         outcome: forward_attempt.Outcome,
         started_at: float,
+        copy: hedged_exchange.CopyState = hedged_exchange.ONLY_COPY,
     ) -> None:
         failure = outcome.err()
         is_not_run = failure is not None and failure.verdict is _NOT_RUN
@@ -224,6 +266,8 @@
                 duration_s=duration_s,
                 is_error_response=bool(failure and failure.is_error_response),
                 parts=forward_job.shared_parts(job),
+                is_hedge=copy.is_hedge,
+                is_cancelled=copy.is_cancelled,
             )
         )
 
@@ -269,7 +313,7 @@
             request=job.request_info.request_id,
             fingerprint=job.fingerprint,
             route=job.route.name,
-            replica=replica.id,
+            replica=failure.replica or replica.id,
             verdict=failure.verdict.value,
             why=failure.reason,
             has_ended=failure.process_ended,
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -36,7 +36,7 @@
     timers,
 )
 from papayaloom.routing import dispatch
-from papayaloom.routing.overload import retry_delays
+from papayaloom.routing.overload import hedging, retry_delays
 from papayaloom.version import routes
 
 _log = structlog.get_logger('gateway')
@@ -89,7 +89,10 @@
         self.dispatch_client = dispatch_actor.DispatchClient(actor)
         self._forwarder = forwarder.Forwarder(
             forwarder.Dependencies(
-                self.dispatch_client, platform.dialect, self._pool
+                self.dispatch_client,
+                platform.dialect,
+                self._pool,
+                hedge_delays=hedging.delays(cfg.placing.hedges),
             )
         )
         self._view = store_view.StoreView(
--- a/papayaloom/routing/decision_counts.py
+++ b/papayaloom/routing/decision_counts.py
@@ -10,6 +10,14 @@
     # A response that states a slow machine, and a request placed on one.
     SLOW_REPORTED = 'slow_machine_reported'
     PLACED_ON_SLOW = 'placed_on_slow_machine'
+    # Hedges, copies cancelled because the other one answered, and hedges that
+    # were not sent.
+    HEDGE_SENT = 'hedge_sent'
+    HEDGE_WON = 'hedge_won'
+    HEDGE_CANCELLED = 'hedge_copy_cancelled'
+    HEDGE_OVER_BUDGET = 'hedge_over_budget'
+    HEDGE_WITHOUT_ROOM = 'hedge_without_room'
+    HEDGE_UNSUITABLE = 'hedge_unsuitable'
 
 
 class DecisionCounts:
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -29,7 +29,7 @@
     moving_averages,
     request_counts,
 )
-from papayaloom.routing.overload import budgets, load_shedding
+from papayaloom.routing.overload import budgets, hedging, load_shedding
 from papayaloom.routing.poison import poison, poison_detector
 from papayaloom.request import header_dialect
 
@@ -49,6 +49,7 @@
     repeats: budgets.RetryBound = budgets.RetryBound()
     blaming: poison.Cfg = poison.Cfg()
     shedding: load_shedding.Cfg = load_shedding.Cfg()
+    hedges: hedging.Cfg = hedging.Cfg()
 
 
 PlacementResult = result.Result[replica_choice.Choice, errors.Problem]
@@ -80,6 +81,16 @@
             cfg.ejecting, rng
         )
         self._failing = failing_requests.FailingRequests()
+        self._hedging = hedging.Hedging(
+            cfg.hedges,
+            hedging.Knowledge(
+                self._availability,
+                self.rate_limits,
+                self.poison,
+                self._budgets,
+                self.decisions,
+            ),
+        )
 
     def set_fleet_size(self, hosts: int) -> None:
         """Set the number of routers in the fleet."""
@@ -137,6 +148,7 @@
         self.poison.record_attempt(
             dispatch_messages.ended_attempt(attempt_result, now), now
         )
+        self._hedging.record_end(attempt_result)
         if attempt_result.is_unreachable:
             self._availability.record_unreachable(attempt_result.replica, now)
         return self._record_health(attempt_result, now)
@@ -177,6 +189,7 @@
             self._load_estimates.forget(replica)
             self._traffic.forget(replica)
             self._availability.forget(replica)
+            self._hedging.forget(replica)
 
     def dump(self, now: float) -> dict[str, object]:
         """Return the state for the operator's dump."""
@@ -194,6 +207,7 @@
             'rate_limits': self.rate_limits.dump(now),
             'retries_left': self._budgets.dump(now),
             'running': self._shedder.dump(),
+            'hedges_saved': self._hedging.dump(),
             'poison': self.poison.dump(),
             'decisions': self.decisions.dump(),
         }
@@ -208,6 +222,26 @@
         """Choose one of the candidates, unless the request is rejected."""
         estimates = self._estimates(request.service, ready, now)
         traffic = self._traffic.expected(request.service, estimates, now)
+
+        def choose(
+            allowed: list[replicas.Replica],
+            limited: rate_shares.LimitedReplicas,
+        ) -> replica_choice.Choice:
+            return replica_choice.choose(
+                self._eligible(request, allowed, limited, now),
+                estimates,
+                traffic,
+                request.prefix,
+                self._cfg.spreading,
+                self._rng,
+            )
+
+        if request.hedge_of:
+            load = hedging.Load(estimates, traffic, len(ready))
+            free = self._hedging.admit(request, candidates, load, now)
+            if not free:
+                return result.Err(placement_problems.not_hedged())
+            return result.Ok(choose(free, {}))
         admitted = self._shedder.admit(
             _demand(request),
             load_shedding.Load(
@@ -241,15 +275,7 @@
             return result.Err(
                 self._shedder.reject(_demand(request), problem, now)
             )
-        choice = replica_choice.choose(
-            self._eligible(request, allowed, limited, now),
-            estimates,
-            traffic,
-            request.prefix,
-            self._cfg.spreading,
-            self._rng,
-        )
-        return result.Ok(choice)
+        return result.Ok(choose(allowed, limited))
 
     def _within_limits(
         self,
@@ -279,6 +305,7 @@
         choice: replica_choice.Choice,
         now: float,
     ) -> None:
+        self._hedging.record_start(request)
         self._traffic.record_arrival(request.service, choice.preferred, now)
         self._shedder.record_start(request.service, request.organisation)
         if choice.estimate.slowdown >= _NOTABLE_SLOWDOWN:
--- a/papayaloom/routing/dispatch_messages.py
+++ b/papayaloom/routing/dispatch_messages.py
@@ -18,6 +18,8 @@
     :param objective_s: target time to the response or the first event.
     :param left_s: time left until the deadline.
     :param parts: names of the prompt parts that other requests may share.
+    :param hedge_of: replica that runs the first copy; None if the request is
+        not a hedge.
     """
 
     service: ids.ServiceId
@@ -30,6 +32,7 @@
     objective_s: float = 1
     left_s: float = 10
     parts: tuple[ids.Fingerprint, ...] = ()
+    hedge_of: replicas.ReplicaId | None = None
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
@@ -46,6 +49,8 @@
     :param is_error_response: the replica answered with an error status, which
         may be the fault of the request.
     :param parts: names of the prompt parts that other requests may share.
+    :param is_hedge: the attempt was the second copy of a request.
+    :param is_cancelled: the other copy of the request was answered first.
     """
 
     service: ids.ServiceId
@@ -59,6 +64,8 @@
     duration_s: float | None = None
     is_error_response: bool = False
     parts: tuple[ids.Fingerprint, ...] = ()
+    is_hedge: bool = False
+    is_cancelled: bool = False
 
 
 def subject(
--- a/papayaloom/routing/overload/budgets.py
+++ b/papayaloom/routing/overload/budgets.py
@@ -6,6 +6,8 @@
 _SAVED_SLACK_SHARE = 0.5
 _REFILL_SLACK_SHARE = 0.35
 _RATIO_SHARE = 0.6
+# Hedges that can be saved for one upstream.
+_MAX_SAVED_HEDGES = 1.0
 
 
 class Cfg(msgspec.Struct, frozen=True):
@@ -76,6 +78,7 @@
         self._cfg = cfg
         self._upstream_buckets: dict[str, TokenBucket] = {}
         self._router_bucket = TokenBucket(cfg.first_retries, 0)
+        self._hedges: dict[str, float] = {}
 
     def configure(self, cfg: Cfg) -> None:
         """Apply new limits; buckets keep their tokens."""
@@ -83,8 +86,12 @@
 
     def record_success(self, upstream: str, now: float) -> None:
         """Refill the buckets after a successful request."""
-        for bucket in (self._bucket(upstream, now), self._router_bucket):
+        spare = min(
             self._add_tokens(bucket, self._cfg.budget_ratio)
+            for bucket in (self._bucket(upstream, now), self._router_bucket)
+        )
+        saved = self._hedges.get(upstream, 0) + spare
+        self._hedges[upstream] = min(saved, _MAX_SAVED_HEDGES)
 
     def spend(self, upstream: str, now: float) -> bool:
         """Take the tokens for a retry.
@@ -99,9 +106,24 @@
         self._router_bucket.tokens -= 1
         return True
 
+    def spend_hedge(self, upstream: str) -> bool:
+        """Take the token for a hedge.
+
+        Hedges get what successes earn while the buckets of the retries are
+        full, so that retries take precedence.
+
+        :returns: False when there is none; the hedge must not be sent.
+        """
+        saved = self._hedges.get(upstream, 0)
+        if saved < 1:
+            return False
+        self._hedges[upstream] = saved - 1
+        return True
+
     def forget(self, upstream: str) -> None:
         """Remove the bucket of an upstream that has left."""
         self._upstream_buckets.pop(upstream, None)
+        self._hedges.pop(upstream, None)
 
     def dump(self, now: float) -> dict[str, float]:
         """Return the tokens by upstream; the router's own are under ''."""
@@ -123,5 +145,8 @@
         bucket.refilled_at = now
         self._add_tokens(bucket, elapsed_s * self._cfg.idle_retries_per_s)
 
-    def _add_tokens(self, bucket: TokenBucket, amount: float) -> None:
-        bucket.tokens = min(bucket.tokens + amount, self._cfg.saved_retries)
+    def _add_tokens(self, bucket: TokenBucket, amount: float) -> float:
+        """Fill a bucket; return what does not fit."""
+        filled = bucket.tokens + amount
+        bucket.tokens = min(filled, self._cfg.saved_retries)
+        return filled - bucket.tokens
--- a/papayaloom/routing/placement_problems.py
+++ b/papayaloom/routing/placement_problems.py
@@ -46,6 +46,11 @@
     return errors.Problem('the request fails at every replica', 503)
 
 
+def not_hedged() -> errors.Problem:
+    """Return the problem for a hedge that is not sent; no caller gets it."""
+    return errors.Problem('the request is not hedged', 503)
+
+
 def budget_spent() -> errors.Problem:
     """Return the problem for a retry that the retry budget does not allow."""
     return errors.Problem(
--- a/papayaloom/routing/poison/poison_detector.py
+++ b/papayaloom/routing/poison/poison_detector.py
@@ -76,6 +76,11 @@
                 return part
         return None
 
+    def is_suspect(self, subject: Subject, now: float) -> bool:
+        """Whether a replica terminated while it ran the request."""
+        treatment = self._requests.treatment(subject.fingerprint, now)
+        return treatment is not quarantine.Treatment.UNRESTRICTED
+
     def isolated(
         self,
         subject: Subject,
