--- a/papayaloom/routing/decision_counts.py
+++ b/papayaloom/routing/decision_counts.py
@@ -18,6 +18,14 @@
     # when the warm ones have no room.
     PLACED_ON_COLD = 'placed_on_cold_replica'
     REFUSED_COLD = 'refused_cold_replica'
+    # Hedges, copies cancelled because the other one answered, and hedges that
+    # were not sent.
+    HEDGE_SENT = 'hedge_sent'
+    HEDGE_WON = 'hedge_won'
+    HEDGE_CANCELLED = 'hedge_copy_cancelled'
+    HEDGE_OVER_BUDGET = 'hedge_over_budget'
+    HEDGE_WITHOUT_ROOM = 'hedge_without_room'
+    HEDGE_UNSUITABLE = 'hedge_unsuitable'
 
 
 class DecisionCounts:
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -32,7 +32,7 @@
     moving_averages,
     request_counts,
 )
-from papayaloom.routing.overload import budgets, load_shedding
+from papayaloom.routing.overload import budgets, hedging, load_shedding
 from papayaloom.routing.poison import poison, poison_detector
 from papayaloom.request import header_dialect
 
@@ -53,6 +53,7 @@
     blaming: poison.Cfg = poison.Cfg()
     shedding: load_shedding.Cfg = load_shedding.Cfg()
     warming: cold_choice.Bound = None
+    hedges: hedging.Cfg = hedging.Cfg()
 
 
 PlacementResult = result.Result[replica_choice.Choice, errors.Problem]
@@ -89,6 +90,16 @@
             cfg.ejecting, rng
         )
         self._failing = failing_requests.FailingRequests()
+        self._hedging = hedging.Hedging(
+            cfg.hedges,
+            hedging.Knowledge(
+                self._availability,
+                self.rate_limits,
+                self.poison,
+                self._budgets,
+                self.decisions,
+            ),
+        )
 
     def set_fleet_size(self, hosts: int) -> None:
         """Set the number of routers in the fleet."""
@@ -160,6 +171,7 @@
         self.poison.record_attempt(
             dispatch_messages.ended_attempt(attempt_result, now), now
         )
+        self._hedging.record_end(attempt_result)
         if attempt_result.is_unreachable:
             self._availability.record_unreachable(attempt_result.replica, now)
         return self._record_health(attempt_result, now)
@@ -213,6 +225,7 @@
             self._load_estimates.forget(replica)
             self._traffic.forget(replica)
             self._availability.forget(replica)
+            self._hedging.forget(replica)
 
     def estimates(
         self,
@@ -250,6 +263,7 @@
             'cold': self.cold.dump(now),
             'retries_left': self._budgets.dump(now),
             'running': self._shedder.dump(),
+            'hedges_saved': self._hedging.dump(),
             'poison': self.poison.dump(),
             'decisions': self.decisions.dump(),
         }
@@ -266,6 +280,30 @@
         admit = cold_choice.admit if is_cold else self._shedder.admit
         estimates = self.estimates(request.service, ready, now)
         traffic = self._traffic.expected(request.service, estimates, now)
+
+        def choose(
+            allowed: list[replicas.Replica],
+            limited: rate_shares.LimitedReplicas,
+        ) -> replica_choice.Choice:
+            return replica_choice.choose(
+                self._eligible(request, allowed, limited, now),
+                estimates,
+                traffic,
+                request.prefix,
+                self._cfg.spreading,
+                self._rng,
+            )
+
+        if request.hedge_of:
+            free = self._hedging.admit(
+                request,
+                candidates,
+                hedging.Load(estimates, traffic, len(ready)),
+                now,
+            )
+            if not free:
+                return result.Err(placement_problems.not_hedged())
+            return result.Ok(choose(free, {}))
         admitted = admit(
             _demand(request),
             load_shedding.Load(
@@ -299,15 +337,7 @@
             return result.Err(
                 self._shedder.reject(_demand(request), problem, now)
             )
-        choice = replica_choice.choose(
-            self._eligible(request, allowed, limited, now),
-            estimates,
-            traffic,
-            request.prefix,
-            self._cfg.spreading,
-            self._rng,
-        )
-        return result.Ok(choice)
+        return result.Ok(choose(allowed, limited))
 
     def _within_limits(
         self,
@@ -337,6 +367,7 @@
         choice: replica_choice.Choice,
         now: float,
     ) -> None:
+        self._hedging.record_start(request)
         self._traffic.record_arrival(request.service, choice.preferred, now)
         self._shedder.record_start(request.service, request.organisation)
         if choice.estimate.slowdown >= _NOTABLE_SLOWDOWN:
--- a/papayaloom/routing/limits/cold_choice.py
+++ b/papayaloom/routing/limits/cold_choice.py
@@ -70,6 +70,8 @@
         ):
             return choose(candidates, False)
         split = self.replicas.split(candidates, request.prefix, now)
+        if request.hedge_of:
+            return _choose_hedge(split.warm, choose)
         chosen = choose(split.warm, False) if split.warm else None
         held = [*split.ramping, *split.cold]
         if chosen is not None and not (held and _has_no_room(chosen)):
@@ -141,6 +143,13 @@
     return free or placement_problems.unavailable(demand.service)
 
 
+def _choose_hedge(warm: list[replicas.Replica], choose: _Choose) -> _Result:
+    """Choose a replica for a hedge, which takes no permit from others."""
+    if warm:
+        return choose(warm, False)
+    return result.Err(placement_problems.not_hedged())
+
+
 def _has_no_room(chosen: _Result) -> bool:
     """Whether a request was rejected that other replicas may take."""
     return isinstance(chosen, result.Err) and (
