Overload: capacity from completions, places that limit each replica

Change: the capacity of a quick service follows from the highest rate at which requests ended lately, or from slots and service time; that of a slow one from completions and occupancy. Under overload a replica gets no more than its places by the prefix ranking, arrivals are corrected by the newest counts, and the decision stays in effect until the demand fits.

--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -245,7 +245,7 @@
             problem = placement_problems.rate_limited(request.service)
             return result.Err(self._shedder.reject(demand, problem, now))
         choice = replica_choice.choose(
-            self._eligible(request, allowed, limited, admission.spread, now),
+            self._eligible(request, allowed, limited, admission.crowding, now),
             estimates,
             traffic,
             request.prefix,
@@ -360,7 +360,7 @@
         request: dispatch_messages.PlacementRequest,
         candidates: list[replicas.Replica],
         limited: rate_shares.LimitedReplicas,
-        spread: replica_choice.Spread,
+        crowding: replica_choice.Crowding,
         now: float,
     ) -> replica_choice.Eligible:
         if not request.prefix:
@@ -372,7 +372,7 @@
         ]
         recently_started = self.replicas.recently_started(request.service, now)
         return replica_choice.Eligible(
-            candidates, prefix_holders, recently_started, limited, spread
+            candidates, prefix_holders, recently_started, limited, crowding
         )
 
 
--- a/papayaloom/routing/load/arrival_rates.py
+++ b/papayaloom/routing/load/arrival_rates.py
@@ -86,3 +86,11 @@
     """
     most = recent + 2 * (math.sqrt(recent) + 1)
     return min(usual_per_s, most / RECENT_S)
+
+
+def corrected(usual_per_s: float, recent: int) -> float:
+    """Return a rate, corrected as far as the recent arrivals are certain.
+
+    :param recent: arrivals within :data:`RECENT_S`.
+    """
+    return lowered(raised(usual_per_s, recent), recent)
--- a/papayaloom/routing/load/fleet_traffic.py
+++ b/papayaloom/routing/load/fleet_traffic.py
@@ -67,16 +67,21 @@
         service: ids.ServiceId,
         precedence: offered_load.Precedence,
         now: float,
-    ) -> typing.Callable[[], offered_load.ServiceLoad] | None:
+    ) -> offered_load.RankedService | None:
         """Count a request that asks for a place.
 
-        :returns: what tells the load of its service; None if all requests of
-            the deployment have one rank.
+        :returns: the load of its service; None if all requests of the
+            deployment have one rank.
         """
         self.offered.record_offered(service, precedence, now)
         if not self.offered.has_ranks:
             return None
-        return lambda: self.service_load(service, now)
+        totals = self._totals if self._has_totals(now) else None
+        return offered_load.RankedService(
+            self._newest_arrivals_per_s(service, now),
+            self.offered.service_time_s(service, totals),
+            lambda: self.service_load(service, now),
+        )
 
     def record_demand(self, replica: replicas.ReplicaId, now: float) -> None:
         """Count a request for which a replica with a rate limit comes first."""
@@ -178,6 +183,22 @@
         certain = max(seen - _DEVIATIONS * math.sqrt(seen), 0)
         return certain / seen * self.others_per_s(service, now)
 
+    def _newest_arrivals_per_s(
+        self, service: ids.ServiceId, now: float
+    ) -> float:
+        """Return the others' rate, corrected by what recent arrivals show."""
+        usual_per_s = self.others_per_s(service, now)
+        if self._has_totals(now):
+            recent = self._totals.recent_arrived.get(service, 0)
+            return arrival_rates.corrected(
+                usual_per_s, round(recent * self._others_share())
+            )
+        own_per_s = arrival_rates.corrected(
+            self._by_service.per_s(service, now),
+            self._by_service.recent_counts(now).get(service, 0),
+        )
+        return own_per_s * (self.hosts - 1)
+
     def _least_arrivals_per_s(
         self, service: ids.ServiceId, now: float
     ) -> float:
--- a/papayaloom/routing/load/offered_load.py
+++ b/papayaloom/routing/load/offered_load.py
@@ -29,15 +29,32 @@
 
     :param demand_per_s: requests a second by precedence.
     :param completed_per_s: requests that end a second.
+    :param recently_per_s: the same, of the last moment, as far as it is
+        certain.
     :param service_time_s: mean time that a request spends at a replica; None
         before the first has ended.
     """
 
     demand_per_s: dict[Precedence, float]
     completed_per_s: float
+    recently_per_s: float
     service_time_s: float | None
 
 
+class RankedService(msgspec.Struct, frozen=True):
+    """Load of a service in a deployment whose requests differ in rank.
+
+    :param arrivals_per_s: requests a second that the other routers place,
+        corrected by the newest counts.
+    :param service_time_s: as in :class:`ServiceLoad`.
+    :param load: returns the load; called when it is needed.
+    """
+
+    arrivals_per_s: float
+    service_time_s: float | None
+    load: typing.Callable[[], ServiceLoad]
+
+
 class OfferedLoad:
     """Counts of one router, and the sums over all routers."""
 
@@ -88,6 +105,7 @@
                 service: round(count * self._service_time_ms(service))
                 for service, count in completed.items()
             },
+            recent_completed=self._completed.recent_counts(now),
         )
 
     def of_fleet(
@@ -97,7 +115,6 @@
     ) -> ServiceLoad:
         """Return the load of a service from the counts of all routers."""
         completed = totals.completed.get(service, 0)
-        worked_s = totals.worked_ms.get(service, 0) / _MS_PER_S
         return ServiceLoad(
             _by_precedence(
                 service,
@@ -106,7 +123,8 @@
                 request_counts.ARRIVAL_WINDOW_S,
             ),
             completed / request_counts.ARRIVAL_WINDOW_S,
-            worked_s / completed if completed else None,
+            arrival_rates.raised(0, totals.recent_completed.get(service, 0)),
+            self.service_time_s(service, totals),
         )
 
     def extrapolated(
@@ -123,9 +141,27 @@
         return ServiceLoad(
             {one: per_s * hosts for one, per_s in own.items()},
             self._completed.per_s(service, now) * hosts,
-            self._service_times_s.get(service, 0) or None,
+            arrival_rates.raised(
+                0, self._completed.recent_counts(now).get(service, 0)
+            )
+            * hosts,
+            self.service_time_s(service),
         )
 
+    def service_time_s(
+        self,
+        service: ids.ServiceId,
+        totals: request_counts.RequestCounts | None = None,
+    ) -> float | None:
+        """Return the mean time that a request spends at a replica.
+
+        :param totals: counts of all routers; None if there are none.
+        """
+        completed = totals.completed.get(service, 0) if totals else 0
+        if not totals or not completed:
+            return self._service_times_s.get(service, 0) or None
+        return totals.worked_ms.get(service, 0) / completed / _MS_PER_S
+
     def _service_time_ms(self, service: str) -> float:
         name = ids.ServiceId(service)
         return self._service_times_s.get(name, 0) * _MS_PER_S
@@ -148,14 +184,7 @@
         name, *levels = key.rsplit(' ', 3)
         if name == service:
             first, second, third = (int(one) for one in levels)
-            rates[first, second, third] = _corrected(
+            rates[first, second, third] = arrival_rates.corrected(
                 offered.get(key, 0) / span_s, recent.get(key, 0)
             )
     return rates
-
-
-def _corrected(usual_per_s: float, recent: int) -> float:
-    """Return a rate, corrected as far as the recent requests are certain."""
-    return arrival_rates.lowered(
-        arrival_rates.raised(usual_per_s, recent), recent
-    )
--- a/papayaloom/routing/load/request_counts.py
+++ b/papayaloom/routing/load/request_counts.py
@@ -37,6 +37,8 @@
     :param completed: requests that ended within :data:`ARRIVAL_WINDOW_S`, by
         service.
     :param worked_ms: time that these spent at a replica, by service.
+    :param recent_completed: as ``completed``, within the same time as
+        ``recent_first``.
     """
 
     running: dict[str, int] = {}
@@ -50,6 +52,7 @@
     recent_offered: dict[str, int] = {}
     completed: dict[str, int] = {}
     worked_ms: dict[str, int] = {}
+    recent_completed: dict[str, int] = {}
 
 
 def add(parts: typing.Iterable[RequestCounts]) -> RequestCounts:
--- a/papayaloom/routing/overload/load_shedding.py
+++ b/papayaloom/routing/overload/load_shedding.py
@@ -101,8 +101,8 @@
     :param service_time_s: mean time that a request spends at a replica.
     :param arrivals_per_s: arrivals at the service from the other routers.
     :param hosts: number of routers in the fleet.
-    :param service_load: returns what all routers ask of the service; None if
-        all requests of the deployment have one rank.
+    :param ranked: load of the service by rank; None if all requests of the
+        deployment have one rank.
     """
 
     candidates: typing.Sequence[replicas.Replica]
@@ -110,22 +110,17 @@
     service_time_s: float
     arrivals_per_s: float
     hosts: int
-    service_load: typing.Callable[[], offered_load.ServiceLoad] | None = None
+    ranked: offered_load.RankedService | None = None
 
 
 class Admission(msgspec.Struct, frozen=True):
     """Replicas that may get an admitted request.
 
-    :param standing: how the request stands among those of other ranks.
+    :param crowding: how one of them is chosen.
     """
 
     replicas: list[replicas.Replica]
-    standing: rank_admission.Standing = rank_admission.Standing.UNRANKED
-
-    @property
-    def spread(self) -> replica_choice.Spread:
-        """Where a request goes if its preferred replicas have no room."""
-        return _SPREADS[self.standing]
+    crowding: replica_choice.Crowding = replica_choice.Crowding()
 
 
 class LoadShedder:
@@ -162,7 +157,9 @@
         # longest objective, often the least urgent ones, would crowd out others.
         self._objectives_s.add(demand.service, demand.objective_s)
         objective_s = self._objectives_s.get(demand.service, 0)
-        use = _occupancy(load, self._cfg.wait_share * objective_s)
+        use = self._occupancy(
+            demand.service, load, self._cfg.wait_share * objective_s
+        )
         standing = self._standing(demand, load, use, now)
         open_replicas = _open_replicas(load, use, _reserved(standing))
         if demand.may_have_run:
@@ -170,7 +167,7 @@
         problem = self._problem(demand, load, use, open_replicas, standing)
         if problem is not None:
             return self._rejection(demand, use, problem, now)
-        return Admission(open_replicas, standing)
+        return Admission(open_replicas, _crowding(standing, use))
 
     def reject(
         self, demand: Demand, problem: errors.Problem, now: float
@@ -199,6 +196,27 @@
             for (service, organisation), count in self._running.items()
         }
 
+    def _occupancy(
+        self, service: ids.ServiceId, load: Load, max_wait_s: float
+    ) -> occupancy.Occupancy:
+        service_time_s, arrivals_per_s = (
+            load.service_time_s,
+            load.arrivals_per_s,
+        )
+        if load.ranked is not None:
+            arrivals_per_s = load.ranked.arrivals_per_s
+            service_time_s = min(
+                load.ranked.service_time_s or service_time_s,
+                self._ranks.run_time_s(service),
+            )
+        return occupancy.measure(
+            load.candidates,
+            load.estimates,
+            service_time_s,
+            arrivals_per_s / len(load.candidates),
+            max_wait_s,
+        )
+
     def _standing(
         self,
         demand: Demand,
@@ -206,7 +224,7 @@
         use: occupancy.Occupancy,
         now: float,
     ) -> rank_admission.Standing:
-        if load.service_load is None or math.isinf(use.places):
+        if load.ranked is None or math.isinf(use.places):
             return rank_admission.Standing.UNRANKED
         draw = self._rng.random() if demand.draw is None else demand.draw
         return self._ranks.standing(
@@ -214,7 +232,7 @@
             demand.precedence,
             draw,
             use,
-            load.service_load,
+            load.ranked.load,
             now,
         )
 
@@ -274,20 +292,20 @@
         return retry_delays.overload_s(share, demand.left_s, self._rng)
 
 
-def _occupancy(load: Load, max_wait_s: float) -> occupancy.Occupancy:
-    return occupancy.measure(
-        load.candidates,
-        load.estimates,
-        load.service_time_s,
-        load.arrivals_per_s / len(load.candidates),
-        max_wait_s,
-    )
-
-
 def _reserved(standing: rank_admission.Standing) -> float:
     return _RESERVED if standing is rank_admission.Standing.MARGINAL else 0
 
 
+def _crowding(
+    standing: rank_admission.Standing, use: occupancy.Occupancy
+) -> replica_choice.Crowding:
+    if standing is rank_admission.Standing.UNRANKED:
+        return replica_choice.Crowding()
+    waiting_share = use.places / use.slots - 1
+    places = 1 + waiting_share * (1 - _reserved(standing))
+    return replica_choice.Crowding(_SPREADS[standing], places)
+
+
 def _open_replicas(
     load: Load, use: occupancy.Occupancy, reserved: float = 0
 ) -> list[replicas.Replica]:
--- a/papayaloom/routing/overload/occupancy.py
+++ b/papayaloom/routing/overload/occupancy.py
@@ -17,7 +17,7 @@
 _DEVIATIONS = 2
 # Share of the requests that can wait in time which an overloaded service should
 # have: with fewer, slots are idle at times.
-_TARGET_WAITING = 0.5
+_TARGET_WAITING = 0.1
 
 
 class Occupancy(msgspec.Struct, frozen=True):
--- a/papayaloom/routing/overload/rank_admission.py
+++ b/papayaloom/routing/overload/rank_admission.py
@@ -12,6 +12,7 @@
 """
 
 import enum
+import math
 import typing
 
 import msgspec
@@ -24,6 +25,12 @@
 _UPDATE_S = 0.05
 # Sums are up to this old, so a faster correction by the occupancy oscillates.
 _MIN_HORIZON_S = 1.0
+# Share of the slots that can be busy without long waits.
+_UTILISATION = 0.95
+# Time constant with which the highest rate of completions is forgotten.
+_PEAK_DECAY_S = 60.0
+# From this service time on, occupancy and completions tell what can begin.
+_SLOW_SERVICE_S = 1.0
 # Share of the capacity that is admitted at least, however many requests wait.
 _MIN_SHARE = 0.1
 # With fewer places in use nothing is rejected.
@@ -48,12 +55,17 @@
 class _Cut(msgspec.Struct, frozen=True):
     """The precedence up to which requests are admitted.
 
+    :param peak_per_s: highest rate of completions lately.
+    :param run_time_s: time that a request runs at a busy replica, by Little's
+        law.
     :param marginal: None if all requests are admitted.
     :param fraction: of the marginal precedence that is admitted.
     """
 
     decided_at: float
-    marginal: offered_load.Precedence | None
+    peak_per_s: float
+    run_time_s: float
+    marginal: offered_load.Precedence | None = None
     fraction: float = 1
 
 
@@ -78,11 +90,12 @@
         :param draw: 0 to 1; the same for all repetitions of a request.
         :param service_load: called when a new decision is needed.
         """
-        if use.expected <= _BUSY_SHARE * use.places:
-            return Standing.UNRANKED
         cut = self._cuts.get(service)
+        is_overloaded = cut is not None and cut.marginal is not None
+        if use.expected <= _BUSY_SHARE * use.places and not is_overloaded:
+            return Standing.UNRANKED
         if cut is None or now - cut.decided_at >= _UPDATE_S:
-            cut = _decide(use, service_load(), now)
+            cut = _decide(use, service_load(), cut, now)
             self._cuts[service] = cut
         if cut.marginal is None:
             return Standing.UNRANKED
@@ -92,6 +105,11 @@
             return Standing.MARGINAL
         return Standing.BEHIND
 
+    def run_time_s(self, service: ids.ServiceId) -> float:
+        """Return the time that a request runs, without waiting, at most."""
+        cut = self._cuts.get(service)
+        return math.inf if cut is None else cut.run_time_s
+
     def dump(self) -> dict[str, object]:
         """Return the decisions of the services that reject requests."""
         return {
@@ -115,29 +133,51 @@
 
 
 def _decide(
-    use: occupancy.Occupancy, load: offered_load.ServiceLoad, now: float
+    use: occupancy.Occupancy,
+    load: offered_load.ServiceLoad,
+    before: _Cut | None,
+    now: float,
 ) -> _Cut:
+    peak_per_s = max(load.recently_per_s, _decayed_peak_per_s(before, now))
+    run_time_s = use.slots / peak_per_s if peak_per_s else math.inf
+    all_admitted = _Cut(now, peak_per_s, run_time_s)
     if load.service_time_s is None:
-        return _Cut(now, None)
-    remaining_per_s = _limit_per_s(use, load, load.service_time_s)
+        return all_admitted
+    remaining_per_s = _limit_per_s(use, load, load.service_time_s, peak_per_s)
     for precedence in sorted(load.demand_per_s):
         demand_per_s = load.demand_per_s[precedence]
         if demand_per_s > remaining_per_s:
-            return _Cut(now, precedence, remaining_per_s / demand_per_s)
+            fraction = remaining_per_s / demand_per_s
+            return _Cut(now, peak_per_s, run_time_s, precedence, fraction)
         remaining_per_s -= demand_per_s
-    return _Cut(now, None)
+    return all_admitted
+
+
+def _decayed_peak_per_s(before: _Cut | None, now: float) -> float:
+    if before is None:
+        return 0
+    age_s = now - before.decided_at
+    return before.peak_per_s * math.exp(-age_s / _PEAK_DECAY_S)
 
 
 def _limit_per_s(
     use: occupancy.Occupancy,
     load: offered_load.ServiceLoad,
     service_time_s: float,
+    peak_per_s: float,
 ) -> float:
     """Return the requests a second that the service can begin.
 
-    Where requests wait they take longer, but as many end as before.
+    Of a slow service, occupancy and completions are known well enough. Of a
+    quick one, the occupancy is outdated, so the capacity follows from its slots,
+    or from what it has completed: where requests wait, they take longer, but as
+    many end.
     """
-    capacity_per_s = max(use.target / service_time_s, load.completed_per_s)
+    slow_share = min(service_time_s / _SLOW_SERVICE_S, 1)
+    quick_per_s = _UTILISATION * max(use.slots / service_time_s, peak_per_s)
+    capacity_per_s = (
+        slow_share * load.completed_per_s + (1 - slow_share) * quick_per_s
+    )
     horizon_s = max(service_time_s, _MIN_HORIZON_S)
     correction = (use.target - use.expected) / horizon_s
     return max(capacity_per_s + correction, _MIN_SHARE * capacity_per_s)
--- a/papayaloom/routing/replica_choice.py
+++ b/papayaloom/routing/replica_choice.py
@@ -92,6 +92,20 @@
     NONE = 'none'
 
 
+class Crowding(msgspec.Struct, frozen=True):
+    """How the replicas of an overloaded service are chosen.
+
+    :param spread: on which replicas a prefix is placed when the preferred ones
+        have no room.
+    :param places: requests that a replica may have, as a multiple of the
+        slots that it has at its present speed; it may have no more than the
+        bound in any case.
+    """
+
+    spread: Spread = Spread.LEAST_LOADED
+    places: float = math.inf
+
+
 class Eligible(msgspec.Struct, frozen=True):
     """Replicas that are considered for a request.
 
@@ -100,15 +114,14 @@
         draining ones.
     :param recently_started: replicas too new to have the prefix cached.
     :param limited: replicas that named a rate limit.
-    :param spread: on which replicas a prefix is placed when the preferred ones
-        have no room.
+    :param crowding: how replicas are chosen while the service is overloaded.
     """
 
     candidates: typing.Sequence[replicas.Replica]
     prefix_holders: typing.Sequence[replicas.Replica] = ()
     recently_started: frozenset[str] = frozenset()
     limited: rate_shares.LimitedReplicas = {}
-    spread: Spread = Spread.LEAST_LOADED
+    crowding: Crowding = Crowding()
 
 
 def choose(
@@ -133,8 +146,10 @@
     by_rank = _candidates_by_rank(eligible, ranked)
     bound = cfg.factor * mean + cfg.slack
     preferred = _preferred(eligible, ranked, by_rank)
-    under_bound = _under_bound(preferred, estimates, traffic, bound, rng)
-    if under_bound is None and eligible.spread is Spread.NONE:
+    under_bound = _under_bound(
+        preferred, estimates, traffic, bound, eligible.crowding, rng
+    )
+    if under_bound is None and eligible.crowding.spread is Spread.NONE:
         return None
     chosen = under_bound or _water_fill(
         eligible.candidates, estimates, traffic, rng
@@ -216,9 +231,9 @@
     by_rank: list[replicas.Replica],
 ) -> list[replicas.Replica]:
     """Return the candidates that may be chosen for their rank."""
-    if eligible.spread is Spread.LEAST_LOADED:
+    if eligible.crowding.spread is Spread.LEAST_LOADED:
         return by_rank[:_MAX_PREFERRED]
-    if eligible.spread is Spread.BY_RANK:
+    if eligible.crowding.spread is Spread.BY_RANK:
         return by_rank
     first = ranked[:_MAX_PREFERRED]
     return [one for one in by_rank if one in first]
@@ -229,6 +244,7 @@
     estimates: dict[str, load_estimates.LoadEstimate],
     traffic: Traffic,
     bound: float,
+    crowding: Crowding,
     rng: random.Random,
 ) -> replicas.Replica | None:
     """Return a high-ranked candidate that is likely to stay under the bound.
@@ -250,13 +266,10 @@
             overflow
             + (1 - remaining_fraction) * service_time_s * arrivals_per_s
         )
-        headroom = _headroom(arriving, bound, traffic)
-        room = (
-            bound
-            - 1
-            - estimate.own
-            - estimate.others * remaining_fraction
-            - headroom
+        known = estimate.own + estimate.others * remaining_fraction
+        room = min(
+            bound - 1 - known - _headroom(arriving, bound, traffic),
+            _free_places(one, estimate, crowding) - known,
         )
         if room >= arriving or rng.random() * arriving < room:
             if room > 0:
@@ -265,6 +278,17 @@
     return None
 
 
+def _free_places(
+    replica: replicas.Replica,
+    estimate: load_estimates.LoadEstimate,
+    crowding: Crowding,
+) -> float:
+    """Return the places of a replica beside that of the request."""
+    if math.isinf(crowding.places) or not replica.slots:
+        return math.inf
+    return crowding.places * replica.slots / estimate.slowdown - 1
+
+
 def _replica_service_time_s(
     estimate: load_estimates.LoadEstimate, arrivals_per_s: float, mean_s: float
 ) -> float:
