Overload: a burst shows in the own requests before it shows in the sums

Cause: sums over the fleet are up to 1 s old, so the first second of a burst was admitted whole: in the model at three times the room, 23 hosts, plain replicas turned away 16 in 100 arrivals, at eight times 39.

Change: arrivals and demand are at least what this host's newest requests show; rates follow the newest counts within a standard deviation. Requests that are late already get at most a quarter of the capacity. A service with half of its places free rejects nothing, unless its requests are too short to know that.

--- a/papayaloom/routing/load/arrival_rates.py
+++ b/papayaloom/routing/load/arrival_rates.py
@@ -17,6 +17,8 @@
 _DECAY_TIME_S = 3.0
 # Window of the recent arrivals.
 RECENT_S = 0.5
+# Standard deviations by which a router may see more than its part.
+_CERTAIN_DEVIATIONS = 2
 _Key = typing.TypeVar('_Key', bound=str)
 
 
@@ -89,8 +91,20 @@
 
 
 def corrected(usual_per_s: float, recent: int) -> float:
-    """Return a rate, corrected as far as the recent arrivals are certain.
+    """Return a rate within a standard deviation of the recent arrivals.
 
     :param recent: arrivals within :data:`RECENT_S`.
     """
-    return lowered(raised(usual_per_s, recent), recent)
+    deviation = math.sqrt(recent)
+    least_per_s = (recent - deviation) / RECENT_S
+    most_per_s = (recent + deviation) / RECENT_S
+    return min(max(usual_per_s, least_per_s), most_per_s)
+
+
+def certain_per_s(recent: int) -> float:
+    """Return the rate that the recent arrivals of one router show at least.
+
+    :param recent: arrivals within :data:`RECENT_S`.
+    """
+    least = recent - _CERTAIN_DEVIATIONS * math.sqrt(recent)
+    return max(least, 0) / RECENT_S
--- a/papayaloom/routing/load/fleet_traffic.py
+++ b/papayaloom/routing/load/fleet_traffic.py
@@ -8,7 +8,6 @@
 """
 
 import math
-import typing
 
 from papayaloom import ids
 from papayaloom.routing import replica_choice, replicas
@@ -142,7 +141,7 @@
     ) -> offered_load.ServiceLoad:
         """Return what all routers ask of a service, and what it completes."""
         if self._has_totals(now):
-            return self.offered.of_fleet(service, self._totals)
+            return self.offered.of_fleet(service, self._totals, self.hosts, now)
         return self.offered.extrapolated(service, self.hosts, now)
 
     def all_per_s(self, service: ids.ServiceId, now: float) -> float:
@@ -188,14 +187,17 @@
     ) -> float:
         """Return the others' rate, corrected by what recent arrivals show."""
         usual_per_s = self.others_per_s(service, now)
+        own_recent = self._by_service.recent_counts(now).get(service, 0)
         if self._has_totals(now):
             recent = self._totals.recent_arrived.get(service, 0)
-            return arrival_rates.corrected(
+            others_per_s = arrival_rates.corrected(
                 usual_per_s, round(recent * self._others_share())
             )
+            # The sums are old; a burst shows in the own requests first.
+            certain_per_s = arrival_rates.certain_per_s(own_recent)
+            return max(others_per_s, certain_per_s * (self.hosts - 1))
         own_per_s = arrival_rates.corrected(
-            self._by_service.per_s(service, now),
-            self._by_service.recent_counts(now).get(service, 0),
+            self._by_service.per_s(service, now), own_recent
         )
         return own_per_s * (self.hosts - 1)
 
--- a/papayaloom/routing/load/offered_load.py
+++ b/papayaloom/routing/load/offered_load.py
@@ -112,16 +112,19 @@
         self,
         service: ids.ServiceId,
         totals: request_counts.RequestCounts,
+        hosts: int,
+        now: float,
     ) -> ServiceLoad:
         """Return the load of a service from the counts of all routers."""
         completed = totals.completed.get(service, 0)
+        demand_per_s = _by_precedence(
+            service,
+            totals.offered,
+            totals.recent_offered,
+            request_counts.ARRIVAL_WINDOW_S,
+        )
         return ServiceLoad(
-            _by_precedence(
-                service,
-                totals.offered,
-                totals.recent_offered,
-                request_counts.ARRIVAL_WINDOW_S,
-            ),
+            _raised(demand_per_s, self._certain_per_s(service, now) * hosts),
             completed / request_counts.ARRIVAL_WINDOW_S,
             arrival_rates.raised(0, totals.recent_completed.get(service, 0)),
             self.service_time_s(service, totals),
@@ -162,6 +165,17 @@
             return self._service_times_s.get(service, 0) or None
         return totals.worked_ms.get(service, 0) / completed / _MS_PER_S
 
+    def _certain_per_s(self, service: ids.ServiceId, now: float) -> float:
+        """Return the demand that the newest requests show at least."""
+        recent = self._offered.recent_counts(now)
+        return arrival_rates.certain_per_s(
+            sum(
+                count
+                for key, count in recent.items()
+                if key.rsplit(' ', 3)[0] == service
+            )
+        )
+
     def _service_time_ms(self, service: str) -> float:
         name = ids.ServiceId(service)
         return self._service_times_s.get(name, 0) * _MS_PER_S
@@ -188,3 +202,14 @@
                 offered.get(key, 0) / span_s, recent.get(key, 0)
             )
     return rates
+
+
+def _raised(
+    demand_per_s: dict[Precedence, float], certain_per_s: float
+) -> dict[Precedence, float]:
+    """Return a demand that is at least a rate, with the same proportions."""
+    total_per_s = sum(demand_per_s.values())
+    if not total_per_s or certain_per_s <= total_per_s:
+        return demand_per_s
+    factor = certain_per_s / total_per_s
+    return {one: per_s * factor for one, per_s in demand_per_s.items()}
--- a/papayaloom/routing/overload/rank_admission.py
+++ b/papayaloom/routing/overload/rank_admission.py
@@ -31,6 +31,9 @@
 _PEAK_DECAY_S = 60.0
 # From this service time on, occupancy and completions tell what can begin.
 _SLOW_SERVICE_S = 1.0
+# Share of the capacity for requests that are late already. Otherwise, urgent
+# callers that return after a burst would keep out what comes after it.
+_LATE_SHARE = 0.25
 # Share of the capacity that is admitted at least, however many requests wait.
 _MIN_SHARE = 0.1
 # With fewer places in use nothing is rejected.
@@ -53,20 +56,31 @@
 
 
 class _Cut(msgspec.Struct, frozen=True):
-    """The precedence up to which requests are admitted.
+    """Which part of each precedence is admitted.
 
     :param peak_per_s: highest rate of completions lately.
     :param run_time_s: time that a request runs at a busy replica, by Little's
         law.
-    :param marginal: None if all requests are admitted.
-    :param fraction: of the marginal precedence that is admitted.
+    :param fractions: admitted fraction by precedence, in ascending order; empty
+        if all requests are admitted.
     """
 
     decided_at: float
     peak_per_s: float
     run_time_s: float
-    marginal: offered_load.Precedence | None = None
-    fraction: float = 1
+    fractions: dict[offered_load.Precedence, float] = {}
+
+    def fraction(self, precedence: offered_load.Precedence) -> float:
+        """Return the admitted fraction, also of a precedence without demand."""
+        known = self.fractions.get(precedence)
+        if known is None:
+            less_urgent = [
+                fraction
+                for other, fraction in self.fractions.items()
+                if other > precedence
+            ]
+            return less_urgent[0] if less_urgent else 0
+        return known
 
 
 class RankAdmission:
@@ -91,19 +105,17 @@
         :param service_load: called when a new decision is needed.
         """
         cut = self._cuts.get(service)
-        is_overloaded = cut is not None and cut.marginal is not None
-        if use.expected <= _BUSY_SHARE * use.places and not is_overloaded:
+        if use.expected <= _BUSY_SHARE * use.places and not _is_quick(cut):
             return Standing.UNRANKED
         if cut is None or now - cut.decided_at >= _UPDATE_S:
             cut = _decide(use, service_load(), cut, now)
             self._cuts[service] = cut
-        if cut.marginal is None:
+        if not cut.fractions:
             return Standing.UNRANKED
-        if precedence < cut.marginal:
+        fraction = cut.fraction(precedence)
+        if fraction >= 1:
             return Standing.AHEAD
-        if precedence == cut.marginal and draw < cut.fraction:
-            return Standing.MARGINAL
-        return Standing.BEHIND
+        return Standing.MARGINAL if draw < fraction else Standing.BEHIND
 
     def run_time_s(self, service: ids.ServiceId) -> float:
         """Return the time that a request runs, without waiting, at most."""
@@ -111,14 +123,24 @@
         return math.inf if cut is None else cut.run_time_s
 
     def dump(self) -> dict[str, object]:
-        """Return the decisions of the services that reject requests."""
+        """Return the admitted fractions of services that reject requests."""
         return {
-            service: {'marginal': cut.marginal, 'fraction': cut.fraction}
+            service: {
+                ' '.join(str(one) for one in precedence): round(fraction, 3)
+                for precedence, fraction in cut.fractions.items()
+            }
             for service, cut in self._cuts.items()
-            if cut.marginal is not None
+            if cut.fractions
         }
 
 
+def _is_quick(cut: _Cut | None) -> bool:
+    """Whether the occupancy is outdated before it is known."""
+    if cut is None or not cut.fractions:
+        return False
+    return cut.run_time_s < _SLOW_SERVICE_S / 2
+
+
 def draw(fingerprint: ids.Fingerprint, wall_s: float) -> float:
     """Return the draw of a request, 0 to 1.
 
@@ -140,17 +162,32 @@
 ) -> _Cut:
     peak_per_s = max(load.recently_per_s, _decayed_peak_per_s(before, now))
     run_time_s = use.slots / peak_per_s if peak_per_s else math.inf
-    all_admitted = _Cut(now, peak_per_s, run_time_s)
-    if load.service_time_s is None:
-        return all_admitted
-    remaining_per_s = _limit_per_s(use, load, load.service_time_s, peak_per_s)
-    for precedence in sorted(load.demand_per_s):
-        demand_per_s = load.demand_per_s[precedence]
-        if demand_per_s > remaining_per_s:
-            fraction = remaining_per_s / demand_per_s
-            return _Cut(now, peak_per_s, run_time_s, precedence, fraction)
-        remaining_per_s -= demand_per_s
-    return all_admitted
+    fractions: dict[offered_load.Precedence, float] = {}
+    if load.service_time_s is not None:
+        limit_per_s = _limit_per_s(use, load, load.service_time_s, peak_per_s)
+        fractions = _fractions(load.demand_per_s, limit_per_s)
+    return _Cut(now, peak_per_s, run_time_s, fractions)
+
+
+def _fractions(
+    demand_per_s: dict[offered_load.Precedence, float], limit_per_s: float
+) -> dict[offered_load.Precedence, float]:
+    """Return the admitted fraction of each precedence; empty if all are."""
+    if sum(demand_per_s.values()) <= limit_per_s:
+        return {}
+    fractions = {}
+    late_per_s = _LATE_SHARE * limit_per_s
+    for precedence in sorted(demand_per_s):
+        admitted_per_s = min(demand_per_s[precedence], limit_per_s)
+        if precedence[-1]:
+            admitted_per_s = min(admitted_per_s, late_per_s)
+            late_per_s -= admitted_per_s
+        limit_per_s -= admitted_per_s
+        # A single recent request shows no demand.
+        fractions[precedence] = admitted_per_s / (
+            demand_per_s[precedence] or math.inf
+        )
+    return fractions
 
 
 def _decayed_peak_per_s(before: _Cut | None, now: float) -> float:
