--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -33,7 +33,7 @@
     replica_choice,
     replicas,
 )
-from papayaloom.routing.overload import hedging
+from papayaloom.routing.overload import hedging, rank_admission
 from papayaloom.routing.poison import poison_evidence
 from papayaloom.request import forwarding, header_dialect
 
@@ -134,6 +134,9 @@
             left_s=job.remaining_s(),
             parts=forward_job.shared_parts(job),
             hedge_of=hedge_of,
+            rank=forward_job.rank(job),
+            waited_s=max(job.route.timeout_s - job.remaining_s(), 0),
+            draw=rank_admission.draw(job.fingerprint, time.time()),
         )
         return self._deps.dispatch_client.place(request)
 
@@ -286,6 +289,7 @@
                 parts=forward_job.shared_parts(job),
                 is_hedge=copy.is_hedge,
                 is_cancelled=copy.is_cancelled,
+                is_refused=bool(failure and failure.is_refused),
             )
         )
 
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -19,13 +19,17 @@
     replicas,
 )
 from papayaloom.routing.health import (
+    attempt_health,
     ejection,
     evacuations,
-    failing_requests,
     replica_availability,
 )
-from papayaloom.routing.limits import cold_choice
-from papayaloom.routing.limits import limited_choice, rate_limits, rate_shares
+from papayaloom.routing.limits import (
+    cold_choice,
+    limited_admission,
+    rate_limits,
+    rate_shares,
+)
 from papayaloom.routing.load import (
     fleet_traffic,
     load_estimates,
@@ -76,11 +80,13 @@
             cfg.warming, rng, self.decisions, self.evacuations.returned_s
         )
         self.replicas.on_entry = self.cold.replicas.record_entry
-        self._rate_shares = rate_shares.RateShares(rng)
         self._cfg = cfg
         self._rng = rng
         self._load_estimates = load_estimates.LoadEstimates()
         self._traffic = fleet_traffic.FleetTraffic(hosts)
+        self._limited = limited_admission.LimitedAdmission(
+            self.rate_limits, self._traffic, rng
+        )
         self._service_times_s: moving_averages.MovingAverages[ids.ServiceId] = (
             moving_averages.MovingAverages()
         )
@@ -89,7 +95,9 @@
         self._availability = replica_availability.ReplicaAvailability(
             cfg.ejecting, rng
         )
-        self._failing = failing_requests.FailingRequests()
+        self._health = attempt_health.AttemptHealth(
+            self._availability, self._budgets
+        )
         self._hedging = hedging.Hedging(
             cfg.hedges,
             hedging.Knowledge(
@@ -168,13 +176,16 @@
             self._service_times_s.add(
                 attempt_result.service, attempt_result.duration_s
             )
+            self._traffic.offered.record_completed(
+                attempt_result.service, attempt_result.duration_s, now
+            )
         self.poison.record_attempt(
             dispatch_messages.ended_attempt(attempt_result, now), now
         )
         self._hedging.record_end(attempt_result)
         if attempt_result.is_unreachable:
             self._availability.record_unreachable(attempt_result.replica, now)
-        return self._record_health(attempt_result, now)
+        return self._health.record(attempt_result, now)
 
     def record_load(
         self, replica: replicas.ReplicaId, load: header_dialect.Load, now: float
@@ -277,89 +288,76 @@
         now: float,
     ) -> PlacementResult:
         """Choose one of the candidates, unless the request is rejected."""
-        admit = cold_choice.admit if is_cold else self._shedder.admit
         estimates = self.estimates(request.service, ready, now)
         traffic = self._traffic.expected(request.service, estimates, now)
-
-        def choose(
-            allowed: list[replicas.Replica],
-            limited: rate_shares.LimitedReplicas,
-        ) -> replica_choice.Choice:
-            return replica_choice.choose(
-                self._eligible(request, allowed, limited, now),
-                estimates,
-                traffic,
-                request.prefix,
-                self._cfg.spreading,
-                self._rng,
-            )
-
         if request.hedge_of:
-            free = self._hedging.admit(
-                request,
-                candidates,
-                hedging.Load(estimates, traffic, len(ready)),
-                now,
+            load = hedging.Load(estimates, traffic, len(ready))
+            admission = self._hedging.admit(request, candidates, load, now)
+        else:
+            admission = self._admit(
+                request, candidates, estimates, traffic, is_cold, now
             )
-            if not free:
-                return result.Err(placement_problems.not_hedged())
-            return result.Ok(choose(free, {}))
-        admitted = admit(
-            _demand(request),
-            load_shedding.Load(
-                candidates,
-                estimates,
-                traffic.service_time_s,
-                traffic.arrivals_per_s,
-                self._traffic.hosts,
-            ),
-            now,
+        if isinstance(admission, errors.Problem):
+            return result.Err(admission)
+        limited = self._limited.limited(request.service, ready, now)
+        allowed = self._limited.allowed(
+            request, ready, admission.replicas, limited, now
         )
-        if isinstance(admitted, errors.Problem):
-            return result.Err(admitted)
-        refusal = self._retry_refusal(request, now)
-        if refusal is not None:
-            return result.Err(refusal)
-        limited = rate_shares.limited_replicas(
-            ready,
-            self.rate_limits,
-            self._traffic.all_per_s(request.service, now),
+        if not allowed:
+            return self._rejected(request, placement_problems.rate_limited, now)
+        choice = replica_choice.choose(
+            self._eligible(request, allowed, limited, admission.crowding, now),
+            estimates,
+            traffic,
+            request.prefix,
+            self._cfg.spreading,
+            self._rng,
+        )
+        if choice is None:
+            return self._rejected(request, placement_problems.prefix_full, now)
+        return result.Ok(choice)
+
+    def _admit(
+        self,
+        request: dispatch_messages.PlacementRequest,
+        candidates: list[replicas.Replica],
+        estimates: dict[str, load_estimates.LoadEstimate],
+        traffic: replica_choice.Traffic,
+        is_cold: bool,
+        now: float,
+    ) -> load_shedding.Admission | errors.Problem:
+        """Return the replicas that may get a request, or why none may."""
+        demand = load_shedding.demand(request)
+        load = load_shedding.Load(
+            candidates,
+            estimates,
+            traffic.service_time_s,
+            traffic.arrivals_per_s,
             self._traffic.hosts,
-            now,
         )
-        allowed = admitted
-        if limited:
-            allowed = self._within_limits(
-                request, ready, admitted, limited, now
-            )
-        if not allowed:
-            problem = placement_problems.rate_limited(request.service)
-            return result.Err(
-                self._shedder.reject(_demand(request), problem, now)
+        if is_cold:
+            admission = cold_choice.admit(demand, load)
+        else:
+            ranked = self._traffic.record_offered(
+                request.service, demand.precedence, now
             )
-        return result.Ok(choose(allowed, limited))
+            load = msgspec.structs.replace(load, ranked=ranked)
+            admission = self._shedder.admit(demand, load, now)
+        if isinstance(admission, errors.Problem):
+            return admission
+        return self._health.retry_refusal(request, now) or admission
 
-    def _within_limits(
+    def _rejected(
         self,
         request: dispatch_messages.PlacementRequest,
-        ready: list[replicas.Replica],
-        admitted: list[replicas.Replica],
-        limited: rate_shares.LimitedReplicas,
+        problem: typing.Callable[[ids.ServiceId], errors.Problem],
         now: float,
-    ) -> list[replicas.Replica]:
-        """Return the replicas whose rate limits allow a request."""
-        first = limited_choice.first_in_rank(
-            ready, limited, request.prefix, self._rng
+    ) -> PlacementResult:
+        """Count a rejection, and return it with a retry delay."""
+        found = problem(request.service)
+        return result.Err(
+            self._shedder.reject(load_shedding.demand(request), found, now)
         )
-        limit = limited.get(first.id)
-        if limit is not None:
-            self._traffic.record_demand(first.id, now)
-            demand_per_s = self._traffic.demand_per_s(first.id, now)
-            if first in admitted and self._rate_shares.admits(
-                first.id, limit, demand_per_s
-            ):
-                return [first]
-        return [one for one in admitted if one.id not in limited]
 
     def _record_placement(
         self,
@@ -379,52 +377,12 @@
         self._load_estimates.record_start(chosen)
         self.poison.record_start(dispatch_messages.subject(request), chosen)
 
-    def _record_health(
-        self, attempt_result: dispatch_messages.AttemptResult, now: float
-    ) -> list[replicas.ReplicaId]:
-        """Record what an attempt says about the health of replicas."""
-        if attempt_result.is_failure is None:
-            return []
-        ejections = self._availability.ejections(attempt_result.service)
-        chosen = attempt_result.replica
-        if not attempt_result.is_failure:
-            ejections.record_success(chosen, now)
-            self._budgets.record_success(attempt_result.service, now)
-            failed = self._failed_on_their_own(attempt_result, now)
-        elif attempt_result.is_error_response and chosen not in (
-            ejections.ejected()
-        ):
-            self._failing.record_error(attempt_result.fingerprint, chosen, now)
-            failed = set()
-        else:
-            failed = {chosen}
-        return [one for one in failed if ejections.record_failure(one, now)]
-
-    def _failed_on_their_own(
-        self, attempt_result: dispatch_messages.AttemptResult, now: float
-    ) -> set[replicas.ReplicaId]:
-        """Return the replicas that failed a request that can be answered."""
-        if not attempt_result.is_success:
-            return set()
-        return self._failing.record_success(attempt_result.fingerprint, now)
-
-    def _retry_refusal(
-        self, request: dispatch_messages.PlacementRequest, now: float
-    ) -> errors.Problem | None:
-        """Return why a retry is not sent; None if it or a first attempt is."""
-        if not request.is_retry:
-            return None
-        if self._failing.fails_everywhere(request.fingerprint, now):
-            return placement_problems.fails_everywhere()
-        if self._budgets.spend(request.service, now):
-            return None
-        return placement_problems.budget_spent()
-
     def _eligible(
         self,
         request: dispatch_messages.PlacementRequest,
         candidates: list[replicas.Replica],
         limited: rate_shares.LimitedReplicas,
+        crowding: replica_choice.Crowding,
         now: float,
     ) -> replica_choice.Eligible:
         if not request.prefix:
@@ -439,17 +397,5 @@
         recently_started = self.replicas.recently_started(request.service, now)
         recently_started |= self.evacuations.uncached(prefix_holders, now)
         return replica_choice.Eligible(
-            candidates, prefix_holders, recently_started, limited
+            candidates, prefix_holders, recently_started, limited, crowding
         )
-
-
-def _demand(
-    request: dispatch_messages.PlacementRequest,
-) -> load_shedding.Demand:
-    return load_shedding.Demand(
-        request.service,
-        request.organisation,
-        request.objective_s,
-        request.left_s,
-        request.may_have_run,
-    )
--- a/papayaloom/routing/dispatch_messages.py
+++ b/papayaloom/routing/dispatch_messages.py
@@ -20,6 +20,10 @@
     :param parts: names of the prompt parts that other requests may share.
     :param hedge_of: replica that runs the first copy; None if the request is
         not a hedge.
+    :param rank: priority of its organisation, or else of its route, and
+        priority of its route; 0 is the most urgent.
+    :param waited_s: time that its caller has waited before it arrived here.
+    :param draw: 0 to 1, the same for its repetitions; None to draw at random.
     """
 
     service: ids.ServiceId
@@ -33,6 +37,9 @@
     left_s: float = 10
     parts: tuple[ids.Fingerprint, ...] = ()
     hedge_of: replicas.ReplicaId | None = None
+    rank: tuple[int, int] = (0, 0)
+    waited_s: float = 0
+    draw: float | None = None
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
@@ -51,6 +58,7 @@
     :param parts: names of the prompt parts that other requests may share.
     :param is_hedge: the attempt was the second copy of a request.
     :param is_cancelled: the other copy of the request was answered first.
+    :param is_refused: the replica was full and did not run it.
     """
 
     service: ids.ServiceId
@@ -66,6 +74,7 @@
     parts: tuple[ids.Fingerprint, ...] = ()
     is_hedge: bool = False
     is_cancelled: bool = False
+    is_refused: bool = False
 
 
 def subject(
--- a/papayaloom/routing/limits/cold_choice.py
+++ b/papayaloom/routing/limits/cold_choice.py
@@ -128,8 +128,8 @@
 
 
 def admit(
-    demand: load_shedding.Demand, load: load_shedding.Load, now: float
-) -> list[replicas.Replica] | errors.Problem:
+    demand: load_shedding.Demand, load: load_shedding.Load
+) -> load_shedding.Admission | errors.Problem:
     """Return the cold replicas that have a free slot for a request.
 
     Other than :meth:`load_shedding.LoadShedder.admit`, this does not reckon with
@@ -140,7 +140,9 @@
         for one in load.candidates
         if not one.slots or load.estimates[one.id].total < one.slots
     ]
-    return free or placement_problems.unavailable(demand.service)
+    if free:
+        return load_shedding.Admission(free)
+    return placement_problems.unavailable(demand.service)
 
 
 def _choose_hedge(warm: list[replicas.Replica], choose: _Choose) -> _Result:
--- a/papayaloom/routing/overload/hedging.py
+++ b/papayaloom/routing/overload/hedging.py
@@ -19,17 +19,18 @@
 
 import msgspec
 
-from papayaloom import ids
+from papayaloom import errors, ids
 from papayaloom.routing import (
     decision_counts,
     dispatch_messages,
+    placement_problems,
     replica_choice,
     replicas,
 )
 from papayaloom.routing.health import ejection, replica_availability
 from papayaloom.routing.limits import rate_limits
 from papayaloom.routing.load import load_estimates
-from papayaloom.routing.overload import budgets
+from papayaloom.routing.overload import budgets, load_shedding
 from papayaloom.routing.poison import poison_detector
 
 MAX_EXTRA_PERCENT = 20
@@ -183,11 +184,10 @@
         candidates: typing.Sequence[replicas.Replica],
         load: Load,
         now: float,
-    ) -> list[replicas.Replica]:
+    ) -> load_shedding.Admission | errors.Problem:
         """Return the replicas that may get a hedge, and take its budget.
 
         :param candidates: replicas that have not had the request.
-        :returns: an empty list if the hedge is not sent.
         """
         subject = dispatch_messages.subject(request)
         first = request.hedge_of
@@ -207,7 +207,7 @@
             return self._refuse(_Decision.HEDGE_OVER_BUDGET)
         self._saved[request.service] = saved - 1
         self._known.decisions.add(_Decision.HEDGE_SENT)
-        return free
+        return load_shedding.Admission(free)
 
     def record_start(self, request: dispatch_messages.PlacementRequest) -> None:
         """Record that a request was placed, which earns a part of a hedge."""
@@ -252,9 +252,9 @@
             and load.estimates[replica.id].slowdown < _MAX_SLOWDOWN
         )
 
-    def _refuse(self, reason: _Decision) -> list[replicas.Replica]:
+    def _refuse(self, reason: _Decision) -> errors.Problem:
         self._known.decisions.add(reason)
-        return []
+        return placement_problems.not_hedged()
 
 
 def _has_room(usable: list[replicas.Replica], load: Load) -> bool:
