Evacuation: hosts that cannot list the store learn of it from other hosts

A feed whose changes cannot be applied no longer makes requests wait. Both tests now see the deliberate faults.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -119,6 +119,12 @@
       | 13    | root |
       | 3     | host |
 
+  Scenario: A host that started while it is cut from the store misses an evacuation
+    Given a forwarding router with replicas in zone a (whole) and b (whole)
+    And another one that does not reach the store
+    When the operator evacuates the zones a
+    Then the other one holds zone a evacuated within 4 s
+
   # Guards against requests that a host places by what it knew before it was suspended.
   Scenario: A suspended host places requests by old information
     When a host is suspended for longer than an evacuation may take
--- a/features/forwarding_router.py
+++ b/features/forwarding_router.py
@@ -107,7 +107,7 @@
         self.proxies.append(proxy.Proxy(self.standin.server.bind_addr))
         return self.proxies[-1]
 
-    def start_router(self, seeds=(), store_at=None):
+    def start_router(self, seeds=(), store_at=None, **changes):
         host, port = store_at or self.standin.server.bind_addr
         # The metrics and the control server share the port numbers of tests.
         addresses = gateway_cfg.Addresses(*[('127.0.0.1', 0)] * 5)
@@ -118,6 +118,7 @@
                 addresses=addresses,
                 seeds=tuple(seeds),
                 stop=gateway_stop.Cfg(0.5, 0.6, 3),
+                **changes,
             ),
             store.PlatformStore(f'{host}:{port}'),
             main.PLATFORM_ADAPTER,
--- a/features/steps/evacuation_fleet_steps.py
+++ b/features/steps/evacuation_fleet_steps.py
@@ -81,24 +81,21 @@
 
 @behave.then('two routers agree on the prefixes that came back by {at:g} s')
 def agree(context, at):
-    first, second = context.routers[:2]
-    second.evacuations.end('a', 8)
-    first.evacuations.evacuate('a', 7)
-    first.evacuations.end('a', 8)
-    second.evacuations.evacuate('a', 7)
-    second.evacuations.end('a', 8)
+    for one in context.routers[:2]:
+        one.evacuations.evacuate('a', 7)
+        one.evacuations.end('a', 8)
     found = [
         {
             f'p{number}'
             for number in range(200)
             if len(
                 one.evacuations.ramped(
-                    context.listed, f'p{number}', at, random.Random(number)
+                    context.listed, f'p{number}', at, random.Random()
                 )
             )
             == len(context.listed)
         }
-        for one in (first, second)
+        for one in context.routers[:2]
     ]
     assert found[0] == found[1] and 0 < len(found[0]) < 200, found
 
@@ -150,6 +147,21 @@
     assert (one.connections, len(one.requests)) == context.before[0]
 
 
+@behave.given('another one that does not reach the store')
+def other_router(context):
+    context.other = context.fleet.start_router(
+        seeds=[context.router.addresses['control']],
+        store_at=('127.0.0.1', 1),
+        evacuation_s=5.0,
+    )
+    assert fleets.until(5, lambda: context.other.dump()['version'])
+
+
+@behave.then('the other one holds zone a evacuated within {seconds:d} s')
+def other_holds(context, seconds):
+    assert fleets.until(seconds, lambda: held(context.other) == {'a'})
+
+
 @behave.when('zone a is evacuated while a request that breaks off runs there')
 def breaks_off(context):
     twin = context.fleet.twin
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -168,6 +168,10 @@
     feed_steps.knows_from_snapshot(context)
     context.view.restore(content)
     holds(context, zones)
+    # The listing may be older than the snapshot.
+    for source in context.view.sources():
+        source.replace([])
+    holds(context, zones)
     context.view, context.desk = kept
 
 
--- a/papayaloom/process/evacuation_entries.py
+++ b/papayaloom/process/evacuation_entries.py
@@ -4,6 +4,7 @@
 """
 
 import random
+import threading
 import typing
 
 import structlog
@@ -41,8 +42,11 @@
         self._prefix = prefix
         self._dispatch_client = dispatch_client
         self._stored = stored
+        # Held while a listing or a snapshot is applied.
+        self._lock = threading.Lock()
         self._has_snapshot = False
         self._reported_unknown: frozenset[str] = frozenset()
+        self._reported_unconfirmed: frozenset[str] = frozenset()
 
     def replace(
         self,
@@ -59,31 +63,20 @@
         :param is_older: the listing may be older than what is known.
         :param is_snapshot: the listing comes from another host.
         """
-        named = [self._evacuated_zone(one.key, one.value) for one in entries]
-        zones = [zone for zone in named if zone]
-        is_older = is_older or is_snapshot or self._has_snapshot
-        self._has_snapshot = is_snapshot
+        with self._lock:
+            self._replace(entries, is_older=is_older, is_snapshot=is_snapshot)
 
-        def step(
-            dispatcher: dispatch.Dispatcher, now: float
-        ) -> tuple[evacuations.Changes, frozenset[str]]:
-            changes = dispatcher.evacuations.replace(
-                zones, now, is_older=is_older
-            )
-            _record(dispatcher, changes)
-            return changes, dispatcher.evacuations.unconfirmed
+    def restore(self, content: bytes) -> None:
+        """Apply the evacuations of another host's snapshot, and nothing else.
 
-        changes, unconfirmed = self._dispatch_client.ask(step)
-        _log_changes(changes)
-        if unconfirmed:
-            _log.warning(
-                'view: a listing that may be older lacks evacuated zones',
-                zones=sorted(unconfirmed),
-            )
-        # Hosts that start with this host's snapshot need the kept ones too.
-        kept = {f'{self._prefix}{zone}': _USUAL_VALUE for zone in unconfirmed}
-        listed = {one.key: one.value for one in entries}
-        self._stored.replace(self._prefix, {**kept, **listed})
+        :raises papayaloom.errors.CodecError: the snapshot cannot be decoded.
+        """
+        entries = [
+            kv.Entry(key, value, 0)
+            for key, value in stored_entries.decode(content).items()
+            if key.startswith(self._prefix)
+        ]
+        self.replace(entries, is_older=True, is_snapshot=True)
 
     def update(self, key: str, content: bytes) -> None:
         """Apply a written entry."""
@@ -130,6 +123,40 @@
             _log.warning('view: no replica in an evacuated zone', zone=zone)
         self._reported_unknown = unknown
 
+    def _replace(
+        self,
+        entries: typing.Sequence[kv.Entry],
+        *,
+        is_older: bool,
+        is_snapshot: bool,
+    ) -> None:
+        named = [self._evacuated_zone(one.key, one.value) for one in entries]
+        zones = [zone for zone in named if zone]
+        is_older = is_older or is_snapshot or self._has_snapshot
+        self._has_snapshot = is_snapshot
+
+        def step(
+            dispatcher: dispatch.Dispatcher, now: float
+        ) -> tuple[evacuations.Changes, frozenset[str]]:
+            changes = dispatcher.evacuations.replace(
+                zones, now, is_older=is_older, is_snapshot=is_snapshot
+            )
+            _record(dispatcher, changes)
+            return changes, dispatcher.evacuations.unconfirmed
+
+        changes, unconfirmed = self._dispatch_client.ask(step)
+        _log_changes(changes)
+        if unconfirmed and unconfirmed != self._reported_unconfirmed:
+            _log.warning(
+                'view: evacuated zones are unconfirmed',
+                zones=sorted(unconfirmed),
+            )
+        self._reported_unconfirmed = unconfirmed
+        # Hosts that start with this host's snapshot need the kept ones too.
+        kept = {f'{self._prefix}{zone}': _USUAL_VALUE for zone in unconfirmed}
+        listed = {one.key: one.value for one in entries}
+        self._stored.replace(self._prefix, {**kept, **listed})
+
     def _evacuated_zone(self, key: str, content: bytes) -> str:
         """Return the zone that an entry names; empty if it names none."""
         zone = key.removeprefix(self._prefix)
--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -188,6 +188,8 @@
                     'feed: cannot apply a change; listing the store again'
                 )
                 self._position = None
+                # What cannot be applied does not come by waiting for it.
+                self._record_informed(begun_at)
                 self._stopping.wait(_RETRY_S)
                 continue
             self._record_answer(begun_at)
@@ -210,6 +212,9 @@
             self.is_store_unavailable = False
             _log.info('feed: the store is available again')
         self._health.on_answer()
+        self._record_informed(begun_at)
+
+    def _record_informed(self, begun_at: float) -> None:
         with self._called:
             self._informed_at = begun_at
             self._called.notify_all()
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -59,6 +59,8 @@
 # Share of the time for an evacuation after which a view is too old to place by;
 # in the rest, a change may have been on its way through relay hosts (1.2 s).
 _MAX_VIEW_AGE_SHARE = 0.7
+# A view gets this old between two calls of a host that watches the store itself.
+_MIN_VIEW_AGE_S = 2.5
 # Statuses for logs and metrics only; they are never sent to a caller.
 _STATUS_CALLER_GONE = 499
 _STATUS_ABORTED = 599
@@ -120,7 +122,9 @@
                 self._view.store_answered,
                 self._view.store_failed,
                 snapshot_client.SnapshotClient(
-                    cfg.seeds, self._view
+                    cfg.seeds,
+                    self._view,
+                    refreshes=cfg.evacuation_s is not None,
                 ).start_fetch,
                 self._store_restored,
             ),
@@ -150,7 +154,8 @@
         self.dispatch_client.on_poison_report = self._reporter.wake
         if cfg.evacuation_s is not None:
             self.dispatch_client.wait_current = functools.partial(
-                self._feed.wait_current, cfg.evacuation_s * _MAX_VIEW_AGE_SHARE
+                self._feed.wait_current,
+                max(cfg.evacuation_s * _MAX_VIEW_AGE_SHARE, _MIN_VIEW_AGE_S),
             )
         self._timers = timers.Timers(self._clock)
         self._front = self._listen(
--- a/papayaloom/process/snapshot_client.py
+++ b/papayaloom/process/snapshot_client.py
@@ -5,6 +5,8 @@
 """
 
 import threading
+import time
+import typing
 
 import msgspec
 import structlog
@@ -22,6 +24,8 @@
 # A host that heard from the store this recently has missed no changes, so its
 # snapshot is used without asking further hosts.
 _CURRENT_S = 2.0
+# Time between fetches by a host that has lost the history of changes.
+_REFRESH_S = 1.0
 
 
 class _Snapshot(msgspec.Struct, frozen=True):
@@ -39,12 +43,16 @@
     """Fetches a snapshot from one of the seed hosts.
 
     :param addresses: control addresses of the hosts; some may be unreachable.
+    :param refreshes: whether evacuated zones are fetched again as long as the
+        store cannot be listed.
     """
 
     def __init__(
         self,
         addresses: tuple[tuple[str, int], ...],
         view: store_view.StoreView,
+        *,
+        refreshes: bool = False,
     ) -> None:
         """Prepare the client; no connection is opened yet."""
         self._addresses = addresses
@@ -53,25 +61,48 @@
             timeout=urllib3.Timeout(_TIMEOUT_S)
         )
         self._fetch_lock = threading.Lock()
+        self._refreshes = refreshes
+        self._fetched_at = float('-inf')
 
     def start_fetch(self) -> None:
         """Start to fetch a snapshot on a separate thread.
 
         Unreachable hosts cost a timeout each, and the store may return sooner.
         """
-        if self._view.table is None and self._fetch_lock.acquire(
-            blocking=False
-        ):
+        is_first = self._view.table is None
+        is_due = time.monotonic() - self._fetched_at > _REFRESH_S
+        if not is_first and not (self._refreshes and is_due):
+            return
+        if self._fetch_lock.acquire(blocking=False):
+            self._fetched_at = time.monotonic()
+            apply = self._apply_newest if is_first else self._refresh
             threading.Thread(
-                target=self._run, name='catch-up', daemon=True
+                target=self._run, args=(apply,), name='catch-up', daemon=True
             ).start()
 
-    def _run(self) -> None:
+    def _run(self, apply: typing.Callable[[], None]) -> None:
         try:
-            self._apply_newest()
+            apply()
         finally:
             self._fetch_lock.release()
 
+    def _refresh(self) -> None:
+        """Apply the evacuations that a host in touch with the store knows."""
+        for host, port in self._addresses:
+            snapshot = self._fetch(host, port)
+            if snapshot is None or snapshot.age_s > _CURRENT_S:
+                continue
+            try:
+                self._view.evacuations.restore(snapshot.content)
+            except errors.CodecError as exc:
+                _log.info(
+                    'catch-up: cannot decode a snapshot',
+                    host=host,
+                    reason=str(exc),
+                )
+                continue
+            return
+
     def _apply_newest(self) -> None:
         """Apply the first current snapshot, else the newest one.
 
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -188,10 +188,7 @@
         :returns: whether the snapshot was applied.
         :raises papayaloom.errors.CodecError: the snapshot cannot be decoded.
         """
-        try:
-            entries = decoding.decode_msgpack(content, dict[str, bytes])
-        except msgspec.MsgspecError as exc:
-            raise errors.CodecError(f'invalid snapshot: {exc}') from exc
+        entries = stored_entries.decode(content)
         with self._apply_lock:
             if self._is_listed:
                 return False
--- a/papayaloom/process/stored_entries.py
+++ b/papayaloom/process/stored_entries.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from papayaloom import decoding, errors
+
 
 class StoredEntries:
     """Newest content of each key; thread-safe."""
@@ -38,3 +40,14 @@
         """Return all entries in MessagePack."""
         with self._lock:
             return msgspec.msgpack.encode(self._by_key)
+
+
+def decode(content: bytes) -> dict[str, bytes]:
+    """Decode the entries of another host's snapshot.
+
+    :raises papayaloom.errors.CodecError: they cannot be decoded.
+    """
+    try:
+        return decoding.decode_msgpack(content, dict[str, bytes])
+    except msgspec.MsgspecError as exc:
+        raise errors.CodecError(f'invalid snapshot: {exc}') from exc
--- a/papayaloom/routing/health/evacuations.py
+++ b/papayaloom/routing/health/evacuations.py
@@ -37,7 +37,8 @@
         """Initialise with all zones in service."""
         self._evacuated_at: dict[str, float] = {}
         self._returned_at: dict[str, float] = {}
-        # Evacuated zones that a listing lacked which may have been older.
+        # Evacuated zones that a possibly older listing lacked, or that only a
+        # snapshot had.
         self._unconfirmed: set[str] = set()
 
     @property
@@ -79,16 +80,25 @@
         return True
 
     def replace(
-        self, zones: typing.Iterable[str], now: float, *, is_older: bool
+        self,
+        zones: typing.Iterable[str],
+        now: float,
+        *,
+        is_older: bool,
+        is_snapshot: bool = False,
     ) -> Changes:
         """Apply a complete listing of the evacuated zones.
 
         :param is_older: the listing may be older than what is known, so it ends
             no evacuation.
+        :param is_snapshot: the listing comes from another router, so what it
+            evacuates may have ended.
         """
         listed = set(zones)
         absent = sorted(self._evacuated_at.keys() - listed)
         evacuated = [one for one in sorted(listed) if self.evacuate(one, now)]
+        if is_snapshot:
+            self._unconfirmed.update(evacuated)
         if is_older:
             self._unconfirmed.update(absent)
             return Changes(tuple(evacuated))
@@ -154,6 +164,8 @@
             for zone in self._returned_at
             if self.returned_s(zone, now) < _UNCACHED_S
         }
+        if not zones:
+            return frozenset()
         return frozenset(one.id for one in listed if one.zone in zones)
 
     def dump(self, now: float) -> dict[str, object]:
