Hedging: a late answer to another request does not settle the race

Cause: reading the exchange again showed three gaps. A whole response to an earlier request on a reused connection counted as the answer that came first, and the worker then waited for that connection alone. After a hedge that was refused as not run, the first copy kept the longer wait of two copies, so it was not retried elsewhere in time. An unexpected error while connecting left a placement without an end.

Change: foreign responses are skipped during the race, the wait is set anew after one copy has failed, and each placement is ended whatever happens. The copy itself moved to process/request_copy.py.

--- a/papayaloom/process/forward_attempt.py
+++ b/papayaloom/process/forward_attempt.py
@@ -108,6 +108,23 @@
             return self._forward_stream(response)
         return self._forward_buffered(response)
 
+    def is_foreign(self, response: h11.Response) -> bool:
+        """Tell whether a response belongs to another request."""
+        metadata = self._dialect.read_answer(
+            response.status_code, list(response.headers.raw_items())
+        )
+        named = metadata.request_id
+        return named not in {'', self._job.request_info.request_id}
+
+    def skip_foreign(self, head: upstream_connection.RequestHead) -> None:
+        """Discard a response to another request, which has been read ahead.
+
+        :param head: head of the request that was sent.
+        """
+        self._conn.receive_head(self.wait_deadline)
+        self._skip_body()
+        self._conn.skip_answer(head)
+
     def _request_head(self) -> upstream_connection.RequestHead:
         job = self._job
         last_event_id = job.joiner.last
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -26,6 +26,7 @@
     forward_attempt,
     forward_job,
     hedged_exchange,
+    request_copy,
 )
 from papayaloom.routing import (
     dispatch,
@@ -248,7 +249,7 @@
         replica: replicas.Replica,
         outcome: forward_attempt.Outcome,
         started_at: float,
-        copy: hedged_exchange.CopyState = hedged_exchange.ONLY_COPY,
+        copy: request_copy.CopyState = request_copy.ONLY_COPY,
     ) -> None:
         failure = outcome.err()
         is_not_run = failure is not None and failure.verdict is _NOT_RUN
--- a/papayaloom/process/hedged_exchange.py
+++ b/papayaloom/process/hedged_exchange.py
@@ -13,18 +13,16 @@
 import time
 import typing
 
-import h11
 import msgspec
 import result
 import structlog
 
 from papayaloom import errors
 from papayaloom.connection import upstream_connection
-from papayaloom.process import forward_attempt, forward_job
-from papayaloom.request import event_joiner, forwarding
+from papayaloom.process import forward_attempt, forward_job, request_copy
+from papayaloom.request import forwarding
 from papayaloom.routing import replica_choice, replicas
 from papayaloom.routing.overload import hedging
-from papayaloom.version import routes
 
 _log = structlog.get_logger('forward')
 # A first response is not delayed by more than this for the connection of a
@@ -32,29 +30,10 @@
 _CONNECT_S = 0.05
 # Time for which the first event is awaited while no percentile is known.
 _LEARNING_S = 1.0
-# Bytes of a response that are kept, so that two copies stay within the part of
-# a buffer that is not counted.
-_MAX_KEPT_BYTES = 65_536
 _NOT_RUN = errors.Verdict.NOT_RUN
 _MAY_HAVE_RUN = errors.Verdict.MAY_HAVE_RUN
 _COPIES = 2
 
-_Item = upstream_connection.Event | errors.UpstreamError
-
-
-class CopyState(msgspec.Struct, frozen=True):
-    """What the report of an attempt says about copies.
-
-    :param is_hedge: it was the second copy.
-    :param is_cancelled: the other copy was answered first.
-    """
-
-    is_hedge: bool = False
-    is_cancelled: bool = False
-
-
-ONLY_COPY = CopyState()
-
 
 class CopySteps(msgspec.Struct, frozen=True):
     """Steps of an attempt, as the forwarder takes them."""
@@ -90,7 +69,7 @@
             replicas.Replica,
             forward_attempt.Outcome,
             float,
-            CopyState,
+            request_copy.CopyState,
         ],
         None,
     ]
@@ -105,89 +84,6 @@
     )
 
 
-class _Preview:
-    """What is known of a response before it is forwarded."""
-
-    def __init__(self, job: forward_job.Job) -> None:
-        """Start without a response."""
-        self.has_head = False
-        # The response, or the first event of a stream, is complete.
-        self.is_ready = False
-        self._job = job
-        self._joiner = event_joiner.EventJoiner(job.joiner.last)
-        self._is_stream = job.route.kind is routes.Kind.STREAM
-        self._kept_bytes = 0
-
-    @property
-    def is_full(self) -> bool:
-        """Whether no more may be kept."""
-        return self._kept_bytes >= _MAX_KEPT_BYTES
-
-    @property
-    def is_late(self) -> bool:
-        """Whether the response has not begun; of a stream, its first event."""
-        return not self.is_ready and (self._is_stream or not self.has_head)
-
-    def add(self, item: _Item) -> None:
-        """Add what has arrived."""
-        if isinstance(item, h11.Response):
-            self.has_head = True
-            self._is_stream = forward_job.is_event_stream(self._job, item)
-        elif isinstance(item, h11.Data):
-            self._add_data(bytes(item.data))
-        else:
-            self.is_ready = True
-
-    def _add_data(self, content: bytes) -> None:
-        self._kept_bytes += len(content)
-        if not self._is_stream:
-            self.is_ready = self.is_ready or self.is_full
-        elif not self.is_ready and not self.is_full:
-            joined = self._joiner.feed(content)
-            self.is_ready = bool(self._joiner.progress or joined.problem)
-
-
-class _Copy:
-    """One of the copies of a request."""
-
-    def __init__(
-        self,
-        choice: replica_choice.Choice,
-        conn: upstream_connection.UpstreamConnection,
-        attempt: forward_attempt.Attempt,
-        preview: _Preview,
-        started_at: float,
-        *,
-        is_hedge: bool,
-    ) -> None:
-        """Send the request."""
-        self.replica = choice.replica
-        self.conn = conn
-        self.attempt = attempt
-        self.preview = preview
-        self.started_at = started_at
-        self.is_hedge = is_hedge
-        self._sent: result.Result[
-            upstream_connection.RequestHead, errors.UpstreamError
-        ]
-        try:
-            self._sent = result.Ok(attempt.send())
-        except errors.UpstreamError as exc:
-            self._sent = result.Err(exc)
-            self.preview.add(exc)
-
-    def read(self, ready_events: int) -> None:
-        """Read what has arrived."""
-        for item in self.conn.read_ahead(ready_events):
-            self.preview.add(item)
-
-    def receive(self) -> forward_attempt.Outcome:
-        """Receive the response and forward it."""
-        if isinstance(self._sent, result.Err):
-            raise self._sent.err_value
-        return self.attempt.receive(self._sent.ok_value)
-
-
 class HedgedExchange:
     """The copies of one request, the first of which has been placed."""
 
@@ -201,7 +97,7 @@
         self._job = job
         self._steps = steps
         self._delays = delays
-        self._running: list[_Copy] = []
+        self._running: list[request_copy.Copy] = []
         # Monotonic time at which the first copy was started.
         self._started_at = time.monotonic()
 
@@ -224,17 +120,10 @@
             raise
 
     def _run(self, choice: replica_choice.Choice) -> forward_attempt.Outcome:
-        try:
-            conn = self._steps.connect(
-                self._job, choice.replica, upstream_connection.CONNECT_S
-            )
-        except errors.UpstreamError as exc:
-            failure = forward_job.Failure(
-                _NOT_RUN, str(exc), is_unreachable=True
-            )
-            self._report(choice.replica, failure)
-            return result.Err(failure)
-        first = self._add_copy(choice, conn, is_hedge=False)
+        opened = self._start(choice, is_hedge=False)
+        if isinstance(opened, result.Err):
+            return opened
+        first = opened.ok_value
         delay_s = self._delays.delay_s(
             self._job.route.name, self._job.remaining_s(), self._started_at
         )
@@ -247,23 +136,31 @@
 
     def _complete_copies(self) -> forward_attempt.Outcome:
         """Forward the response that is complete first, or else the other."""
-        until = float('inf')
         if len(self._running) == _COPIES:
             # Another attempt could only follow when both copies have failed.
             pending = forwarding.Progress(runs=self._job.progress.runs + 1)
             for sent in self._running:
                 sent.attempt.await_response(pending)
-            until = max(one.attempt.wait_deadline for one in self._running)
         while True:
-            if len(self._running) == _COPIES:
-                self._await_response(until)
-            copy = min(self._running, key=_order)
+            copy = self._next_copy()
             outcome = self._complete(copy)
             if isinstance(outcome, result.Ok) or not self._running:
                 return outcome
             self._log_failure(copy, outcome.err_value)
+            self._running[0].attempt.await_response(self._job.progress)
+
+    def _next_copy(self) -> request_copy.Copy:
+        """Wait for a response; return the copy to receive next."""
+        while len(self._running) == _COPIES:
+            self._await_response(
+                max(one.attempt.wait_deadline for one in self._running)
+            )
+            copy = min(self._running, key=_order)
+            if not copy.skip_foreign():
+                return copy
+        return self._running[0]
 
-    def _complete(self, copy: _Copy) -> forward_attempt.Outcome:
+    def _complete(self, copy: request_copy.Copy) -> forward_attempt.Outcome:
         outcome = self._steps.complete(
             copy.replica, copy.conn, copy.attempt, copy.receive
         )
@@ -273,7 +170,7 @@
         return outcome
 
     def _hedge_failure(
-        self, copy: _Copy, failure: forward_job.Failure
+        self, copy: request_copy.Copy, failure: forward_job.Failure
     ) -> forward_job.Failure:
         """Return the failure of a hedge, which had less time than usual."""
         is_overdue = self._job.remaining_s() <= 0
@@ -283,20 +180,14 @@
             replica_failed=None if is_overdue else failure.replica_failed,
         )
 
-    def _send_hedge(self, first: _Copy) -> None:
+    def _send_hedge(self, first: request_copy.Copy) -> None:
         placement = self._steps.place(self._job, first.replica.id)
         if isinstance(placement, result.Err):
             return
         choice = placement.ok_value
         self._job.tried.add(choice.replica.id)
-        try:
-            conn = self._steps.connect(self._job, choice.replica, _CONNECT_S)
-        except errors.UpstreamError as exc:
-            # The short timeout says nothing about the replica.
-            failure = forward_job.Failure(_NOT_RUN, str(exc))
-            self._report(choice.replica, failure, CopyState(is_hedge=True))
+        if self._start(choice, is_hedge=True).is_err():
             return
-        self._add_copy(choice, conn, is_hedge=True)
         _log.info(
             'forward: hedge sent',
             request=self._job.request_info.request_id,
@@ -307,24 +198,42 @@
             left_s=round(self._job.remaining_s(), 3),
         )
 
-    def _add_copy(
-        self,
-        choice: replica_choice.Choice,
-        conn: upstream_connection.UpstreamConnection,
-        *,
-        is_hedge: bool,
-    ) -> _Copy:
-        copy = _Copy(
+    def _start(
+        self, choice: replica_choice.Choice, *, is_hedge: bool
+    ) -> result.Result[request_copy.Copy, forward_job.Failure]:
+        """Send a copy to the replica that it has been placed on."""
+        connect_s = _CONNECT_S if is_hedge else upstream_connection.CONNECT_S
+        try:
+            conn = self._steps.connect(self._job, choice.replica, connect_s)
+        except BaseException as exc:
+            failure = forward_job.Failure(
+                _NOT_RUN,
+                str(exc),
+                # The short timeout of a hedge says nothing about the replica.
+                is_unreachable=not is_hedge,
+            )
+            self._steps.report(
+                self._job,
+                choice.replica,
+                result.Err(failure),
+                time.monotonic(),
+                request_copy.CopyState(is_hedge),
+            )
+            if isinstance(exc, errors.UpstreamError):
+                return result.Err(failure)
+            raise
+        copy = request_copy.Copy(
             choice,
             conn,
             self._steps.new_attempt(self._job, choice, conn),
-            _Preview(self._job),
+            request_copy.Preview(self._job),
             time.monotonic(),
             is_hedge=is_hedge,
         )
         copy.attempt.on_first_byte = functools.partial(self._commit, copy)
         self._running.append(copy)
-        return copy
+        copy.send()
+        return result.Ok(copy)
 
     def _await_response(self, until: float) -> None:
         """Wait until the response of a copy is ready, or for a time."""
@@ -337,7 +246,7 @@
                 return
             self._poll(reading, left_s)
 
-    def _poll(self, reading: list[_Copy], left_s: float) -> None:
+    def _poll(self, reading: list[request_copy.Copy], left_s: float) -> None:
         poll = select.poll()
         for copy in reading:
             poll.register(copy.conn, copy.conn.awaited_events)
@@ -354,7 +263,7 @@
             if ready_events:
                 copy.read(ready_events)
 
-    def _commit(self, winner: _Copy) -> None:
+    def _commit(self, winner: request_copy.Copy) -> None:
         """Cancel the other copy: the response of one goes to the caller."""
         now = time.monotonic()
         self._delays.record(self._job.route.name, now - self._started_at, now)
@@ -362,7 +271,9 @@
             if copy is not winner:
                 self._cancel(copy, winner)
 
-    def _cancel(self, copy: _Copy, winner: _Copy) -> None:
+    def _cancel(
+        self, copy: request_copy.Copy, winner: request_copy.Copy
+    ) -> None:
         copy.conn.close()
         failure = forward_job.Failure(
             _MAY_HAVE_RUN if copy.conn.has_sent else _NOT_RUN,
@@ -381,7 +292,7 @@
 
     def _end(
         self,
-        copy: _Copy,
+        copy: request_copy.Copy,
         outcome: forward_attempt.Outcome,
         *,
         is_cancelled: bool = False,
@@ -395,21 +306,12 @@
             copy.replica,
             outcome,
             copy.started_at,
-            CopyState(copy.is_hedge, is_cancelled),
+            request_copy.CopyState(copy.is_hedge, is_cancelled),
         )
 
-    def _report(
-        self,
-        replica: replicas.Replica,
-        failure: forward_job.Failure,
-        state: CopyState = ONLY_COPY,
+    def _log_failure(
+        self, copy: request_copy.Copy, failure: forward_job.Failure
     ) -> None:
-        """Report a copy that was not sent."""
-        self._steps.report(
-            self._job, replica, result.Err(failure), self._started_at, state
-        )
-
-    def _log_failure(self, copy: _Copy, failure: forward_job.Failure) -> None:
         _log.info(
             'forward: copy failed',
             request=self._job.request_info.request_id,
@@ -422,7 +324,7 @@
         )
 
 
-def _order(copy: _Copy) -> tuple[bool, bool, bool]:
+def _order(copy: request_copy.Copy) -> tuple[bool, bool, bool]:
     """Order copies by which one to receive: ready ones, then first copies."""
     preview = copy.preview
     return not preview.is_ready, not preview.has_head, copy.is_hedge
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -83,12 +83,9 @@
         self._failing = failing_requests.FailingRequests()
         self._hedging = hedging.Hedging(
             cfg.hedges,
+            self.decisions,
             hedging.Knowledge(
-                self._availability,
-                self.rate_limits,
-                self.poison,
-                self._budgets,
-                self.decisions,
+                self._availability, self.rate_limits, self.poison, self._budgets
             ),
         )
 
@@ -238,10 +235,9 @@
 
         if request.hedge_of:
             load = hedging.Load(estimates, traffic, len(ready))
-            free = self._hedging.admit(request, candidates, load, now)
-            if not free:
-                return result.Err(placement_problems.not_hedged())
-            return result.Ok(choose(free, {}))
+            return self._hedging.admit(request, candidates, load, now).map(
+                lambda free: choose(free, {})
+            )
         admitted = self._shedder.admit(
             _demand(request),
             load_shedding.Load(
--- a/papayaloom/routing/overload/hedging.py
+++ b/papayaloom/routing/overload/hedging.py
@@ -18,11 +18,13 @@
 import typing
 
 import msgspec
+import result
 
-from papayaloom import ids
+from papayaloom import errors, ids
 from papayaloom.routing import (
     decision_counts,
     dispatch_messages,
+    placement_problems,
     replica_choice,
     replicas,
 )
@@ -162,15 +164,20 @@
     limits: rate_limits.RateLimits
     poison: poison_detector.PoisonDetector
     retries: budgets.RetryBudgets
-    decisions: decision_counts.DecisionCounts
 
 
 class Hedging:
     """Budget of the hedges, and the replicas that may get one."""
 
-    def __init__(self, cfg: Cfg, known: Knowledge) -> None:
+    def __init__(
+        self,
+        cfg: Cfg,
+        decisions: decision_counts.DecisionCounts,
+        known: Knowledge,
+    ) -> None:
         """Start without a budget."""
         self._cfg = cfg
+        self._decisions = decisions
         self._known = known
         self._saved: dict[ids.ServiceId, float] = {}
         self._losses: collections.Counter[replicas.ReplicaId] = (
@@ -183,11 +190,11 @@
         candidates: typing.Sequence[replicas.Replica],
         load: Load,
         now: float,
-    ) -> list[replicas.Replica]:
+    ) -> result.Result[list[replicas.Replica], errors.Problem]:
         """Return the replicas that may get a hedge, and take its budget.
 
         :param candidates: replicas that have not had the request.
-        :returns: an empty list if the hedge is not sent.
+        :returns: an error if the hedge is not sent; no caller gets it.
         """
         subject = dispatch_messages.subject(request)
         first = request.hedge_of
@@ -206,8 +213,8 @@
         if saved < 1 or not self._known.retries.spend_hedge(request.service):
             return self._refuse(_Decision.HEDGE_OVER_BUDGET)
         self._saved[request.service] = saved - 1
-        self._known.decisions.add(_Decision.HEDGE_SENT)
-        return free
+        self._decisions.add(_Decision.HEDGE_SENT)
+        return result.Ok(free)
 
     def record_start(self, request: dispatch_messages.PlacementRequest) -> None:
         """Record that a request was placed, which earns a part of a hedge."""
@@ -220,13 +227,13 @@
     def record_end(self, ended: dispatch_messages.AttemptResult) -> None:
         """Record the result of an attempt."""
         if ended.is_cancelled:
-            self._known.decisions.add(_Decision.HEDGE_CANCELLED)
+            self._decisions.add(_Decision.HEDGE_CANCELLED)
             if not ended.is_hedge:
                 self._losses[ended.replica] += 1
         elif ended.is_failure is False:
             self._losses.pop(ended.replica, None)
             if ended.is_hedge:
-                self._known.decisions.add(_Decision.HEDGE_WON)
+                self._decisions.add(_Decision.HEDGE_WON)
 
     def forget(self, replica: replicas.ReplicaId) -> None:
         """Drop the state of a replica that was removed or restarted."""
@@ -252,9 +259,9 @@
             and load.estimates[replica.id].slowdown < _MAX_SLOWDOWN
         )
 
-    def _refuse(self, reason: _Decision) -> list[replicas.Replica]:
-        self._known.decisions.add(reason)
-        return []
+    def _refuse(self, reason: _Decision) -> result.Err[errors.Problem]:
+        self._decisions.add(reason)
+        return result.Err(placement_problems.not_hedged())
 
 
 def _has_room(usable: list[replicas.Replica], load: Load) -> bool:
