--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -100,12 +100,9 @@
         )
         self._hedging = hedging.Hedging(
             cfg.hedges,
+            self.decisions,
             hedging.Knowledge(
-                self._availability,
-                self.rate_limits,
-                self.poison,
-                self._budgets,
-                self.decisions,
+                self._availability, self.rate_limits, self.poison, self._budgets
             ),
         )
 
--- a/papayaloom/routing/overload/hedging.py
+++ b/papayaloom/routing/overload/hedging.py
@@ -38,8 +38,9 @@
 _MAX_SAVED = 2.0
 # A lower percentile would spend the budget before the slowest responses.
 _MIN_PERCENTILE = 90.0
-# Free share of the slots below which an admitted request may soon wait.
-_MIN_FREE_SHARE = 0.2
+# Free share of the slots below which an admitted request may soon wait. Replicas
+# that do not report their load are busier at times than other requests show.
+_MIN_FREE_SHARE = 0.5
 # A copy on a machine this slow would hardly come first.
 _MAX_SLOWDOWN = 1.25
 # Cancelled copies in a row after which the replica may be hanging.
@@ -163,15 +164,20 @@
     limits: rate_limits.RateLimits
     poison: poison_detector.PoisonDetector
     retries: budgets.RetryBudgets
-    decisions: decision_counts.DecisionCounts
 
 
 class Hedging:
     """Budget of the hedges, and the replicas that may get one."""
 
-    def __init__(self, cfg: Cfg, known: Knowledge) -> None:
+    def __init__(
+        self,
+        cfg: Cfg,
+        decisions: decision_counts.DecisionCounts,
+        known: Knowledge,
+    ) -> None:
         """Start without a budget."""
         self._cfg = cfg
+        self._decisions = decisions
         self._known = known
         self._saved: dict[ids.ServiceId, float] = {}
         self._losses: collections.Counter[replicas.ReplicaId] = (
@@ -206,7 +212,7 @@
         if saved < 1 or not self._known.retries.spend_hedge(request.service):
             return self._refuse(_Decision.HEDGE_OVER_BUDGET)
         self._saved[request.service] = saved - 1
-        self._known.decisions.add(_Decision.HEDGE_SENT)
+        self._decisions.add(_Decision.HEDGE_SENT)
         return load_shedding.Admission(free)
 
     def record_start(self, request: dispatch_messages.PlacementRequest) -> None:
@@ -220,13 +226,13 @@
     def record_end(self, ended: dispatch_messages.AttemptResult) -> None:
         """Record the result of an attempt."""
         if ended.is_cancelled:
-            self._known.decisions.add(_Decision.HEDGE_CANCELLED)
+            self._decisions.add(_Decision.HEDGE_CANCELLED)
             if not ended.is_hedge:
                 self._losses[ended.replica] += 1
         elif ended.is_failure is False:
             self._losses.pop(ended.replica, None)
             if ended.is_hedge:
-                self._known.decisions.add(_Decision.HEDGE_WON)
+                self._decisions.add(_Decision.HEDGE_WON)
 
     def forget(self, replica: replicas.ReplicaId) -> None:
         """Drop the state of a replica that was removed or restarted."""
@@ -253,7 +259,7 @@
         )
 
     def _refuse(self, reason: _Decision) -> errors.Problem:
-        self._known.decisions.add(reason)
+        self._decisions.add(reason)
         return placement_problems.not_hedged()
 
 
