Overload: urgent requests overtake what waits, and keep their replicas

Cause: hosts that place on the first replica with a free place all send to the same one until the next sums arrive (in the model, replicas with 18 requests whose estimate was 11), and after the onset of a burst the most urgent rank was rejected until the queue of less urgent requests had drained.

Change: under overload a request with a prefix considers all replicas in the order of its prefix; each gets its part of the flow by its room, less a standard deviation. More urgent ranks may use half as many places again as there are slots, since replicas order what waits by priority (now in the model, too), and half of the capacity is admitted however many wait. Nine tenths of the slots are the target: with more, requests wait at some replicas beside idle slots.

--- a/features/placement_model.py
+++ b/features/placement_model.py
@@ -355,7 +355,9 @@
         )
         waiting = self._waiting[name]
         while waiting:
-            other, queued, queued_at = waiting.popleft()
+            first = min(waiting, key=lambda one: one[1].rank)
+            waiting.remove(first)
+            other, queued, queued_at = first
             if now - queued.arrived_at < self._wanted(queued).deadline_s:
                 self._start(now, name, other, queued, queued_at)
                 return
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -388,4 +388,5 @@
         request.rank,
         request.is_retry or request.waited_s > request.objective_s,
         request.draw,
+        bool(request.prefix),
     )
--- a/papayaloom/routing/overload/load_shedding.py
+++ b/papayaloom/routing/overload/load_shedding.py
@@ -40,8 +40,9 @@
     retry_delays,
 )
 
-# Share of the places for waiting requests that the marginal rank leaves free.
-_RESERVED = 1.0
+# Requests that a more urgent one overtakes in the queue of a replica, as a
+# multiple of its slots. Replicas order what waits by priority.
+_OVERTAKEN = 0.5
 # Under overload, requests are rejected rather than placed where their prefix is
 # not cached, as processing it again takes capacity from others.
 _SPREADS = types.MappingProxyType(
@@ -77,6 +78,7 @@
         priority of its route; 0 is the most urgent.
     :param is_late: it cannot meet its objective, or a replica has refused it.
     :param draw: 0 to 1, the same for its repetitions; None to draw at random.
+    :param has_prefix: it shares a prompt prefix with others.
     """
 
     service: ids.ServiceId
@@ -87,6 +89,7 @@
     rank: tuple[int, int] = (0, 0)
     is_late: bool = False
     draw: float | None = None
+    has_prefix: bool = False
 
     @property
     def precedence(self) -> offered_load.Precedence:
@@ -161,13 +164,18 @@
             demand.service, load, self._cfg.wait_share * objective_s
         )
         standing = self._standing(demand, load, use, now)
-        open_replicas = _open_replicas(load, use, _reserved(standing))
+        open_replicas = _open_replicas(load, use, _extra_places(standing, use))
         if demand.may_have_run:
             return Admission(open_replicas or list(load.candidates))
         problem = self._problem(demand, load, use, open_replicas, standing)
         if problem is not None:
             return self._rejection(demand, use, problem, now)
-        return Admission(open_replicas, _crowding(standing, use))
+        crowding = _crowding(standing, use)
+        if demand.has_prefix and not math.isinf(crowding.places):
+            # The choice by rank of the prefix thins out what full ones get.
+            # Without them, all routers would send to the first open one.
+            return Admission(list(load.candidates), crowding)
+        return Admission(open_replicas, crowding)
 
     def reject(
         self, demand: Demand, problem: errors.Problem, now: float
@@ -292,8 +300,15 @@
         return retry_delays.overload_s(share, demand.left_s, self._rng)
 
 
-def _reserved(standing: rank_admission.Standing) -> float:
-    return _RESERVED if standing is rank_admission.Standing.MARGINAL else 0
+def _extra_places(
+    standing: rank_admission.Standing, use: occupancy.Occupancy
+) -> float:
+    """Return the places beyond the usual ones, as a multiple of the slots."""
+    if standing is rank_admission.Standing.AHEAD:
+        return _OVERTAKEN
+    if standing is rank_admission.Standing.MARGINAL:
+        return 1 - use.places / use.slots
+    return 0
 
 
 def _crowding(
@@ -301,24 +316,21 @@
 ) -> replica_choice.Crowding:
     if standing is rank_admission.Standing.UNRANKED:
         return replica_choice.Crowding()
-    waiting_share = use.places / use.slots - 1
-    places = 1 + waiting_share * (1 - _reserved(standing))
+    places = use.places / use.slots + _extra_places(standing, use)
     return replica_choice.Crowding(_SPREADS[standing], places)
 
 
 def _open_replicas(
-    load: Load, use: occupancy.Occupancy, reserved: float = 0
+    load: Load, use: occupancy.Occupancy, extra: float
 ) -> list[replicas.Replica]:
     """Return the replicas that have a free place.
 
-    :param reserved: share of the places in which requests wait that is left to
-        others.
+    :param extra: places beyond the usual ones, as a multiple of the slots.
     """
-    if not reserved:
+    if not extra:
         return [one for one in load.candidates if use.free[one.id] >= 1]
-    waiting_share = 1 - use.slots / use.places
     return [
         one
         for one in load.candidates
-        if use.free[one.id] >= 1 + reserved * waiting_share * one.slots
+        if use.free[one.id] + extra * one.slots >= 1
     ]
--- a/papayaloom/routing/overload/occupancy.py
+++ b/papayaloom/routing/overload/occupancy.py
@@ -17,7 +17,7 @@
 _DEVIATIONS = 2
 # Share of the requests that can wait in time which an overloaded service should
 # have: with fewer, slots are idle at times.
-_TARGET_WAITING = 0.1
+_TARGET_SHARE = 0.9
 
 
 class Occupancy(msgspec.Struct, frozen=True):
@@ -44,7 +44,7 @@
     @property
     def target(self) -> float:
         """Requests that the replicas should have under overload."""
-        return self.slots + _TARGET_WAITING * (self.places - self.slots)
+        return _TARGET_SHARE * self.slots
 
     def describe(self) -> str:
         """Return what a decision is based on, for logs."""
--- a/papayaloom/routing/overload/rank_admission.py
+++ b/papayaloom/routing/overload/rank_admission.py
@@ -35,7 +35,7 @@
 # callers that return after a burst would keep out what comes after it.
 _LATE_SHARE = 0.25
 # Share of the capacity that is admitted at least, however many requests wait.
-_MIN_SHARE = 0.1
+_MIN_SHARE = 0.5
 # With fewer places in use nothing is rejected.
 _BUSY_SHARE = 0.5
 # Repetitions of a request have the same draw for this time.
@@ -213,8 +213,11 @@
     slow_share = min(service_time_s / _SLOW_SERVICE_S, 1)
     quick_per_s = _UTILISATION * max(use.slots / service_time_s, peak_per_s)
     capacity_per_s = (
-        slow_share * load.completed_per_s + (1 - slow_share) * quick_per_s
+        slow_share * max(load.completed_per_s, load.recently_per_s)
+        + (1 - slow_share) * quick_per_s
     )
     horizon_s = max(service_time_s, _MIN_HORIZON_S)
     correction = (use.target - use.expected) / horizon_s
-    return max(capacity_per_s + correction, _MIN_SHARE * capacity_per_s)
+    # At the start of a burst, completions are still those of the calm before.
+    least_per_s = _MIN_SHARE * max(capacity_per_s, quick_per_s)
+    return max(capacity_per_s + correction, least_per_s)
--- a/papayaloom/routing/replica_choice.py
+++ b/papayaloom/routing/replica_choice.py
@@ -269,7 +269,9 @@
         known = estimate.own + estimate.others * remaining_fraction
         room = min(
             bound - 1 - known - _headroom(arriving, bound, traffic),
-            _free_places(one, estimate, crowding) - known,
+            _free_places(one, estimate, crowding)
+            - known
+            - _LOCAL_DEVIATIONS * math.sqrt(arriving),
         )
         if room >= arriving or rng.random() * arriving < room:
             if room > 0:
