Overload: a least share for organisations, wider returns, counters

Retry delays of ranked rejections are spread over half of their length. Counters, and the admitted fractions in /dump.

--- a/papayaloom/routing/decision_counts.py
+++ b/papayaloom/routing/decision_counts.py
@@ -10,6 +10,11 @@
     # A response that states a slow machine, and a request placed on one.
     SLOW_REPORTED = 'slow_machine_reported'
     PLACED_ON_SLOW = 'placed_on_slow_machine'
+    # Requests rejected because others are more urgent, or because the replicas
+    # that have their prefix are full; and refusals by full replicas.
+    REJECTED_BY_RANK = 'rejected_by_rank'
+    REJECTED_FOR_PREFIX = 'rejected_for_prefix'
+    REFUSED_BY_REPLICA = 'refused_by_replica'
 
 
 class DecisionCounts:
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -74,7 +74,9 @@
         self._service_times_s: moving_averages.MovingAverages[ids.ServiceId] = (
             moving_averages.MovingAverages()
         )
-        self._shedder = load_shedding.LoadShedder(cfg.shedding, rng)
+        self._shedder = load_shedding.LoadShedder(
+            cfg.shedding, rng, self.decisions
+        )
         self._budgets = budgets.RetryBudgets(cfg.repeats.share(hosts))
         self._availability = replica_availability.ReplicaAvailability(
             cfg.ejecting, rng
@@ -137,6 +139,8 @@
             self._traffic.offered.record_completed(
                 attempt_result.service, attempt_result.duration_s, now
             )
+        if attempt_result.is_refused:
+            self.decisions.add(decision_counts.Decision.REFUSED_BY_REPLICA)
         self.poison.record_attempt(
             dispatch_messages.ended_attempt(attempt_result, now), now
         )
@@ -197,6 +201,7 @@
             'rate_limits': self.rate_limits.dump(now),
             'retries_left': self._budgets.dump(now),
             'running': self._shedder.dump(),
+            'admitted_by_rank': self._shedder.ranks.dump(),
             'poison': self.poison.dump(),
             'decisions': self.decisions.dump(),
         }
@@ -253,6 +258,7 @@
             self._rng,
         )
         if choice is None:
+            self.decisions.add(decision_counts.Decision.REJECTED_FOR_PREFIX)
             problem = placement_problems.prefix_full(request.service)
             return result.Err(self._shedder.reject(demand, problem, now))
         return result.Ok(choice)
--- a/papayaloom/routing/load/arrival_rates.py
+++ b/papayaloom/routing/load/arrival_rates.py
@@ -17,7 +17,7 @@
 _DECAY_TIME_S = 3.0
 # Window of the recent arrivals.
 RECENT_S = 0.5
-# Standard deviations by which a router may see more than its part.
+# Standard deviations by which recent arrivals may be off by chance.
 _CERTAIN_DEVIATIONS = 2
 _Key = typing.TypeVar('_Key', bound=str)
 
@@ -28,10 +28,14 @@
 
 
 class ArrivalRates(typing.Generic[_Key]):
-    """Arrival rates by key; a rate decays while no requests arrive."""
+    """Arrival rates by key; a rate decays while no requests arrive.
 
-    def __init__(self) -> None:
+    :param decay_time_s: time constant of the decay.
+    """
+
+    def __init__(self, decay_time_s: float = _DECAY_TIME_S) -> None:
         """Initialise without arrivals."""
+        self._decay_time_s = decay_time_s
         self._rates: dict[_Key, _Rate] = {}
         self._recent: collections.deque[tuple[float, _Key]] = (
             collections.deque()
@@ -39,7 +43,9 @@
 
     def record(self, key: _Key, now: float) -> None:
         """Record one arrival."""
-        self._rates[key] = _Rate(now, self.per_s(key, now) + 1 / _DECAY_TIME_S)
+        self._rates[key] = _Rate(
+            now, self.per_s(key, now) + 1 / self._decay_time_s
+        )
         self._recent.append((now, key))
         self._expire_recent(now)
 
@@ -48,7 +54,9 @@
         rate = self._rates.get(key)
         if rate is None:
             return 0
-        return rate.per_s * math.exp((rate.updated_at - now) / _DECAY_TIME_S)
+        return rate.per_s * math.exp(
+            (rate.updated_at - now) / self._decay_time_s
+        )
 
     def counts(self, span_s: float, now: float) -> dict[str, int]:
         """Return the arrivals per ``span_s`` by key, rounded, without zeros."""
@@ -91,11 +99,11 @@
 
 
 def corrected(usual_per_s: float, recent: int) -> float:
-    """Return a rate within a standard deviation of the recent arrivals.
+    """Return a rate that the recent arrivals of all routers allow.
 
     :param recent: arrivals within :data:`RECENT_S`.
     """
-    deviation = math.sqrt(recent)
+    deviation = _CERTAIN_DEVIATIONS * math.sqrt(recent)
     least_per_s = (recent - deviation) / RECENT_S
     most_per_s = (recent + deviation) / RECENT_S
     return min(max(usual_per_s, least_per_s), most_per_s)
--- a/papayaloom/routing/overload/load_shedding.py
+++ b/papayaloom/routing/overload/load_shedding.py
@@ -27,7 +27,7 @@
 import msgspec
 
 from papayaloom import errors, ids
-from papayaloom.routing import replica_choice, replicas
+from papayaloom.routing import decision_counts, replica_choice, replicas
 from papayaloom.routing.load import (
     arrival_rates,
     load_estimates,
@@ -35,6 +35,7 @@
     offered_load,
 )
 from papayaloom.routing.overload import (
+    least_shares,
     occupancy,
     rank_admission,
     retry_delays,
@@ -43,6 +44,9 @@
 # Requests that a more urgent one overtakes in the queue of a replica, as a
 # multiple of its slots. Replicas order what waits by priority.
 _OVERTAKEN = 0.5
+_REJECTED = frozenset(
+    (rank_admission.Standing.BEHIND, rank_admission.Standing.EXCLUDED)
+)
 # Under overload, requests are rejected rather than placed where their prefix is
 # not cached, as processing it again takes capacity from others.
 _SPREADS = types.MappingProxyType(
@@ -51,6 +55,7 @@
         rank_admission.Standing.AHEAD: replica_choice.Spread.BY_RANK,
         rank_admission.Standing.MARGINAL: replica_choice.Spread.NONE,
         rank_admission.Standing.BEHIND: replica_choice.Spread.NONE,
+        rank_admission.Standing.EXCLUDED: replica_choice.Spread.NONE,
     }
 )
 
@@ -129,8 +134,14 @@
 class LoadShedder:
     """Running requests by organisation, and the recent rejections."""
 
-    def __init__(self, cfg: Cfg, rng: random.Random) -> None:
+    def __init__(
+        self,
+        cfg: Cfg,
+        rng: random.Random,
+        decisions: decision_counts.DecisionCounts | None = None,
+    ) -> None:
         """Initialise without requests."""
+        self._decisions = decisions or decision_counts.DecisionCounts()
         self._cfg = cfg
         self._rng = rng
         self._running: collections.Counter[tuple[ids.ServiceId, str]] = (
@@ -139,7 +150,8 @@
         self._objectives_s: moving_averages.MovingAverages[ids.ServiceId] = (
             moving_averages.MovingAverages()
         )
-        self._ranks = rank_admission.RankAdmission()
+        self.ranks = rank_admission.RankAdmission()
+        self._least_shares = least_shares.LeastShares()
         self._offered: arrival_rates.ArrivalRates[ids.ServiceId] = (
             arrival_rates.ArrivalRates()
         )
@@ -215,7 +227,7 @@
             arrivals_per_s = load.ranked.arrivals_per_s
             service_time_s = min(
                 load.ranked.service_time_s or service_time_s,
-                self._ranks.run_time_s(service),
+                self.ranks.run_time_s(service),
             )
         return occupancy.measure(
             load.candidates,
@@ -234,15 +246,22 @@
     ) -> rank_admission.Standing:
         if load.ranked is None or math.isinf(use.places):
             return rank_admission.Standing.UNRANKED
+        service, organisation = demand.service, demand.organisation
         draw = self._rng.random() if demand.draw is None else demand.draw
-        return self._ranks.standing(
-            demand.service,
-            demand.precedence,
-            draw,
-            use,
-            load.ranked.load,
-            now,
+        self._least_shares.record_offered(service, organisation, now)
+        standing = self.ranks.standing(
+            service, demand.precedence, draw, use, load.ranked.load, now
         )
+        if standing is rank_admission.Standing.EXCLUDED and not demand.is_late:
+            limit_per_s = self.ranks.limit_per_s(service) / load.hosts
+            least = self._least_shares.fraction(
+                service, organisation, limit_per_s, now
+            )
+            if draw < least:
+                standing = rank_admission.Standing.MARGINAL
+        if standing not in _REJECTED:
+            self._least_shares.record_admitted(service, organisation, now)
+        return standing
 
     def _problem(
         self,
@@ -253,7 +272,8 @@
         standing: rank_admission.Standing,
     ) -> errors.Problem | None:
         """Return why a request is rejected; None if it is admitted."""
-        if standing is rank_admission.Standing.BEHIND:
+        if standing in _REJECTED:
+            self._decisions.add(decision_counts.Decision.REJECTED_BY_RANK)
             return errors.Problem(
                 'requests that come first use the whole service', 503
             )
@@ -297,6 +317,8 @@
         """Return the retry delay of a rejected request."""
         rejected = self._rejected.per_s(demand.service, now)
         share = rejected / self._offered.per_s(demand.service, now)
+        if self.ranks.is_limited(demand.service):
+            return retry_delays.ranked_s(share, demand.left_s, self._rng)
         return retry_delays.overload_s(share, demand.left_s, self._rng)
 
 
--- a/papayaloom/routing/overload/rank_admission.py
+++ b/papayaloom/routing/overload/rank_admission.py
@@ -24,9 +24,9 @@
 # Time for which a decision about the ranks holds.
 _UPDATE_S = 0.05
 # Sums are up to this old, so a faster correction by the occupancy oscillates.
-_MIN_HORIZON_S = 1.0
+_MIN_HORIZON_S = 1.5
 # Share of the slots that can be busy without long waits.
-_UTILISATION = 0.95
+_UTILISATION = 0.85
 # Time constant with which the highest rate of completions is forgotten.
 _PEAK_DECAY_S = 60.0
 # From this service time on, occupancy and completions tell what can begin.
@@ -52,7 +52,10 @@
     AHEAD = 'ahead'
     # Admitted, but not all of its precedence are.
     MARGINAL = 'marginal'
+    # Rejected, but others of its precedence are admitted.
     BEHIND = 'behind'
+    # No request of this precedence is admitted.
+    EXCLUDED = 'excluded'
 
 
 class _Cut(msgspec.Struct, frozen=True):
@@ -61,6 +64,7 @@
     :param peak_per_s: highest rate of completions lately.
     :param run_time_s: time that a request runs at a busy replica, by Little's
         law.
+    :param limit_per_s: requests a second that all routers may admit.
     :param fractions: admitted fraction by precedence, in ascending order; empty
         if all requests are admitted.
     """
@@ -68,6 +72,7 @@
     decided_at: float
     peak_per_s: float
     run_time_s: float
+    limit_per_s: float = math.inf
     fractions: dict[offered_load.Precedence, float] = {}
 
     def fraction(self, precedence: offered_load.Precedence) -> float:
@@ -115,6 +120,8 @@
         fraction = cut.fraction(precedence)
         if fraction >= 1:
             return Standing.AHEAD
+        if not fraction:
+            return Standing.EXCLUDED
         return Standing.MARGINAL if draw < fraction else Standing.BEHIND
 
     def run_time_s(self, service: ids.ServiceId) -> float:
@@ -122,6 +129,16 @@
         cut = self._cuts.get(service)
         return math.inf if cut is None else cut.run_time_s
 
+    def is_limited(self, service: ids.ServiceId) -> bool:
+        """Whether a service does not admit requests of all ranks."""
+        cut = self._cuts.get(service)
+        return cut is not None and bool(cut.fractions)
+
+    def limit_per_s(self, service: ids.ServiceId) -> float:
+        """Return the requests a second that all routers may admit."""
+        cut = self._cuts.get(service)
+        return math.inf if cut is None else cut.limit_per_s
+
     def dump(self) -> dict[str, object]:
         """Return the admitted fractions of services that reject requests."""
         return {
@@ -163,10 +180,11 @@
     peak_per_s = max(load.recently_per_s, _decayed_peak_per_s(before, now))
     run_time_s = use.slots / peak_per_s if peak_per_s else math.inf
     fractions: dict[offered_load.Precedence, float] = {}
+    limit_per_s = math.inf
     if load.service_time_s is not None:
         limit_per_s = _limit_per_s(use, load, load.service_time_s, peak_per_s)
         fractions = _fractions(load.demand_per_s, limit_per_s)
-    return _Cut(now, peak_per_s, run_time_s, fractions)
+    return _Cut(now, peak_per_s, run_time_s, limit_per_s, fractions)
 
 
 def _fractions(
--- a/papayaloom/routing/overload/retry_delays.py
+++ b/papayaloom/routing/overload/retry_delays.py
@@ -18,6 +18,7 @@
 _LONGEST_FROM_SHARE = 0.5
 # Delays are uniformly distributed between this share and the whole.
 _MIN_SPREAD = 0.75
+_RANKED_MIN_SPREAD = 0.5
 
 
 def overload_s(
@@ -33,6 +34,19 @@
     return _spread(max(delay_s, min(_MIN_S, longest_s)), rng)
 
 
+def ranked_s(rejected_share: float, left_s: float, rng: random.Random) -> float:
+    """Return the delay of a caller whose rank an overloaded service rejects.
+
+    Many are rejected in the moment in which a burst begins, and room comes free
+    over the time that requests run, so their returns are spread further.
+
+    :param rejected_share: share of the requests that are rejected, 0 to 1.
+    :param left_s: time left until the caller's deadline.
+    """
+    longest_s = overload_s(rejected_share, left_s, rng)
+    return longest_s * rng.uniform(_RANKED_MIN_SPREAD, 1)
+
+
 def outage_s(left_s: float, rng: random.Random) -> float:
     """Return the delay of a caller that is rejected during an outage.
 
