--- a/papayaloom/routing/decision_counts.py
+++ b/papayaloom/routing/decision_counts.py
@@ -26,6 +26,11 @@
     HEDGE_OVER_BUDGET = 'hedge_over_budget'
     HEDGE_WITHOUT_ROOM = 'hedge_without_room'
     HEDGE_UNSUITABLE = 'hedge_unsuitable'
+    # Requests rejected because others are more urgent, or because the replicas
+    # that have their prefix are full; and refusals by full replicas.
+    REJECTED_BY_RANK = 'rejected_by_rank'
+    REJECTED_FOR_PREFIX = 'rejected_for_prefix'
+    REFUSED_BY_REPLICA = 'refused_by_replica'
 
 
 class DecisionCounts:
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -90,7 +90,9 @@
         self._service_times_s: moving_averages.MovingAverages[ids.ServiceId] = (
             moving_averages.MovingAverages()
         )
-        self._shedder = load_shedding.LoadShedder(cfg.shedding, rng)
+        self._shedder = load_shedding.LoadShedder(
+            cfg.shedding, rng, self.decisions
+        )
         self._budgets = budgets.RetryBudgets(cfg.repeats.share(hosts))
         self._availability = replica_availability.ReplicaAvailability(
             cfg.ejecting, rng
@@ -176,6 +178,8 @@
             self._traffic.offered.record_completed(
                 attempt_result.service, attempt_result.duration_s, now
             )
+        if attempt_result.is_refused:
+            self.decisions.add(decision_counts.Decision.REFUSED_BY_REPLICA)
         self.poison.record_attempt(
             dispatch_messages.ended_attempt(attempt_result, now), now
         )
@@ -271,6 +275,7 @@
             'cold': self.cold.dump(now),
             'retries_left': self._budgets.dump(now),
             'running': self._shedder.dump(),
+            'admitted_by_rank': self._shedder.ranks.dump(),
             'hedges_saved': self._hedging.dump(),
             'poison': self.poison.dump(),
             'decisions': self.decisions.dump(),
@@ -311,6 +316,7 @@
             self._rng,
         )
         if choice is None:
+            self.decisions.add(decision_counts.Decision.REJECTED_FOR_PREFIX)
             return self._rejected(request, placement_problems.prefix_full, now)
         return result.Ok(choice)
 
