Metrics: buffered responses by replica

Cause: nothing tells which replica has used the memory for responses.

Change: BufferBudget counts by owner what is held now, the most so far and how often there was no room; /metrics shows the three by replica. At most 512 owners are remembered.

--- a/papayaloom/connection/buffer_budget.py
+++ b/papayaloom/connection/buffer_budget.py
@@ -11,11 +11,27 @@
 
 from papayaloom import errors
 
+# Owners whose usage is remembered; replicas get a new id at each start.
+_MAX_OWNERS = 512
+
 
 class BufferFullError(errors.PapayaloomError):
     """There is no room for more of a body."""
 
 
+class Usage(msgspec.Struct):
+    """What an owner has done with the budget.
+
+    :param held: bytes that are counted now.
+    :param peak: most bytes that were counted at once.
+    :param refused: how often there was no room for more.
+    """
+
+    held: int = 0
+    peak: int = 0
+    refused: int = 0
+
+
 class Cfg(msgspec.Struct, frozen=True):
     """Sizes in bytes.
 
@@ -42,6 +58,7 @@
         self.cfg = cfg
         self._lock = threading.Lock()
         self._held: collections.Counter[str] = collections.Counter()
+        self._usage: dict[str, Usage] = {}
 
     @property
     def held_bytes(self) -> int:
@@ -49,16 +66,34 @@
         with self._lock:
             return self._held.total()
 
+    def usage(self) -> dict[str, Usage]:
+        """Return what each owner has done that was ever counted."""
+        with self._lock:
+            return {
+                owner: msgspec.structs.replace(one, held=self._held[owner])
+                for owner, one in self._usage.items()
+            }
+
     def take(self, owner: str, count: int) -> bool:
         """Count bytes if there is room for them; return whether there is."""
         with self._lock:
-            if self._held[owner] + count > self.cfg.owner:
+            usage = self._usage_of(owner)
+            held = self._held[owner] + count
+            if (
+                held > self.cfg.owner
+                or self._held.total() + count > self.cfg.total
+            ):
+                usage.refused += 1
                 return False
-            if self._held.total() + count > self.cfg.total:
-                return False
-            self._held[owner] += count
+            self._held[owner] = held
+            usage.peak = max(usage.peak, held)
             return True
 
+    def _usage_of(self, owner: str) -> Usage:
+        if owner not in self._usage and len(self._usage) >= _MAX_OWNERS:
+            self._usage.pop(next(iter(self._usage)))
+        return self._usage.setdefault(owner, Usage())
+
     def give_back(self, owner: str, count: int) -> None:
         """Stop counting bytes."""
         with self._lock:
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -63,6 +63,10 @@
         """Bytes of responses that are held, beyond the free part of each."""
         return self._deps.buffers.held_bytes
 
+    def buffer_usage(self) -> dict[str, buffer_budget.Usage]:
+        """Return what the responses of each replica have held."""
+        return self._deps.buffers.usage()
+
     def forward(self, job: forward_job.Job) -> int:
         """Forward a request and send the response to the caller.
 
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -158,6 +158,7 @@
                 is_stopping=lambda: self._stop_begun_at is not None,
                 is_listening=lambda: self._front.ready,
                 dump=self.dump,
+                buffer_usage=self._forwarder.buffer_usage,
             )
         )
         self._servers = {
--- a/papayaloom/process/internal_endpoints.py
+++ b/papayaloom/process/internal_endpoints.py
@@ -12,7 +12,7 @@
 import structlog
 
 from papayaloom import errors
-from papayaloom.connection import ingress
+from papayaloom.connection import buffer_budget, ingress
 from papayaloom.process import (
     address_choice,
     dispatch_actor,
@@ -39,6 +39,7 @@
     :param is_stopping: tells whether a graceful stop has begun.
     :param is_listening: tells whether callers can connect.
     :param dump: returns the state of the process.
+    :param buffer_usage: returns the buffered responses by replica.
     """
 
     view: store_view.StoreView
@@ -50,6 +51,7 @@
     is_stopping: typing.Callable[[], bool]
     is_listening: typing.Callable[[], bool]
     dump: typing.Callable[[], dict[str, object]]
+    buffer_usage: typing.Callable[[], dict[str, buffer_budget.Usage]]
 
 
 class InternalEndpoints:
@@ -144,7 +146,9 @@
         decisions = self._deps.dispatch_client.ask(
             lambda dispatcher, _: dispatcher.decisions.dump()
         )
-        content = self._deps.metrics.prometheus_text(decisions)
+        content = self._deps.metrics.prometheus_text(
+            decisions, self._deps.buffer_usage()
+        )
         inbound.answer(_OK, [_CONTENT_TYPE_TEXT], content)
 
     def _dump(self, inbound: ingress.InboundRequest) -> None:
--- a/papayaloom/process/request_metrics.py
+++ b/papayaloom/process/request_metrics.py
@@ -5,8 +5,11 @@
 import threading
 import typing
 
+import msgspec
 from hdrh import histogram
 
+from papayaloom.connection import buffer_budget
+
 _MAX_LATENCY_MS = 120_000
 _PERCENTILES = (50, 95, 99)
 
@@ -49,10 +52,15 @@
                 },
             }
 
-    def prometheus_text(self, decisions: dict[str, int]) -> bytes:
+    def prometheus_text(
+        self,
+        decisions: dict[str, int],
+        buffers: dict[str, buffer_budget.Usage],
+    ) -> bytes:
         """Return the metrics in the Prometheus text exposition format.
 
         :param decisions: counts of routing decisions by name.
+        :param buffers: buffered responses by replica.
         """
         with self._lock:
             lines = [f'papayaloom_running {self.running}']
@@ -69,4 +77,13 @@
             f'papayaloom_decisions_total{{decision="{name}"}} {count}'
             for name, count in decisions.items()
         )
+        for replica, usage in buffers.items():
+            label = f'{{replica={msgspec.json.encode(replica).decode()}}}'
+            lines.extend(
+                (
+                    f'papayaloom_buffered_bytes{label} {usage.held}',
+                    f'papayaloom_buffered_peak_bytes{label} {usage.peak}',
+                    f'papayaloom_buffer_refusals_total{label} {usage.refused}',
+                )
+            )
         return '\n'.join([*lines, '']).encode()
