Responses: a replica that exceeds its part of the memory counts as failing

Many requests at a replica that sends without end reach its 16 MB together before one reaches 8 MB, so it is not ejected, and its retries use up the retry budget.

Change: the buffer budget tells an owner that exceeds its part from one that meets a full budget. The former, and a replica that exceeds a limit of a response, count as failures and are ejected like one that resets connections, up to half of the replicas. A retry after such a failure goes to a replica that has succeeded since, and waits a moment for one and for the retry budget. Large blocks are mapped separately, so that their memory is returned.

--- a/features/bounded_memory.feature
+++ b/features/bounded_memory.feature
@@ -42,6 +42,16 @@
       | a b c     | 50    | a b       | 80   |
       | a a a b   | 30    | a a b     | 60   |
 
+  # Guards against the ejection of replicas that only met a full budget.
+  Scenario: A replica that exceeds its part is told from one that meets a full budget
+    Given a buffer budget of 100 bytes, 40 for each replica, and 10 free for each response
+    When responses of "a b" grow by 45 bytes each
+    And responses of "c a b" grow by 45 bytes each
+    Then 70 bytes are counted
+    And "a b" exceeded their part
+    When responses of "c" grow by 35 bytes each
+    Then the responses "c" had room, and 95 bytes are counted
+
   Scenario: The cost of faulty responses is forgiven with time
     Given replicas whose faulty responses may cost 100 bytes, of which 10 are forgiven a second
     When replica "a" costs 120 bytes at 0 s
--- a/features/forwarding_router.py
+++ b/features/forwarding_router.py
@@ -76,6 +76,7 @@
         self.standin = platform_store.PlatformStore(self.twin, ('127.0.0.1', 0))
         threading.Thread(target=self.standin.server.serve, daemon=True).start()
         self.replicas = []
+        self._listed = 0
         self.routers = []
         self.proxies = []
 
@@ -88,15 +89,20 @@
         content = desired(version, routes, **changes)
         assert self.twin.put('op/config', content, expect).done
 
-    def add_replica(self, script):
+    def add_replica(self, script, slots=4):
         engine = fake_engine.FakeEngine(script)
         self.replicas.append(engine)
-        name = f'i-{len(self.replicas)}'
+        self.list_replica(engine.url, slots)
+
+    def list_replica(self, url, slots):
+        """Add the entry of a replica that already listens."""
+        self._listed += 1
+        name = f'i-{self._listed}'
         entry = {
             'service': 'pool',
-            'address': engine.url.removeprefix('http://'),
+            'address': url.removeprefix('http://'),
             'state': 'ready',
-            'slots': 4,
+            'slots': slots,
             'born': 1,
         }
         content = json.dumps(entry).encode()
--- a/features/hostile_replica.py
+++ b/features/hostile_replica.py
@@ -60,6 +60,21 @@
     return own_head(asked).replace(b'Transfer-Encoding: chunked\r\n', b'')
 
 
+def failed_head(asked):
+    return own_head(asked).replace(b'200 OK', b'500 Broken')
+
+
+def failed_without_length(asked):
+    return head_without_length(asked).replace(b'200 OK', b'500 Broken')
+
+
+def refusal_head(asked):
+    extra = {'Papayaloom-Not-Executed': '1'}
+    return fleets.head(
+        asked['papayaloom-request-id'], None, '503 Full', **extra
+    )
+
+
 def one_event(asked):
     return own_head(asked) + fleets.chunk(b'id: 1\ndata: event 1\n\n')
 
@@ -101,6 +116,11 @@
     'answers to others': flood(nothing, FOREIGN * 16),
     'comments': flood(own_head, fleets.chunk(b': still here\n\n') * 64),
     'one event': flood(one_event, fleets.chunk(b'x' * FLOOD)),
+    'a first event': flood(own_head, fleets.chunk(b'x' * FLOOD)),
+    'large chunks': flood(own_head, fleets.chunk(b'x' * 64 * FLOOD)),
+    'a failed body': flood(failed_head, fleets.chunk(b'x' * FLOOD)),
+    'a failed body to the close': flood(failed_without_length, b'x' * FLOOD),
+    'a refusal': flood(refusal_head, fleets.chunk(b'x' * FLOOD)),
 }
 TRICKLES = {
     'half events': trickle(one_event, fleets.chunk(b'x')),
--- a/features/steps/bounded_memory_steps.py
+++ b/features/steps/bounded_memory_steps.py
@@ -145,11 +145,16 @@
 @behave.when('responses of "{replicas}" grow by {count:d} bytes each')
 def responses_grow(context, replicas, count):
     context.kept = []
+    context.at_fault = []
     for owner in replicas.split():
         buffer = buffer_budget.Buffer(context.budget, owner)
         context.buffers.append(buffer)
-        with contextlib.suppress(buffer_budget.BufferFullError):
+        try:
             buffer.grow(count)
+        except buffer_budget.BufferFullError as exc:
+            if exc.is_excess:
+                context.at_fault.append(owner)
+        else:
             context.kept.append(owner)
 
 
@@ -159,6 +164,11 @@
     assert context.budget.held_bytes == held, context.budget.held_bytes
 
 
+@behave.then('"{replicas}" exceeded their part')
+def exceeded(context, replicas):
+    assert context.at_fault == replicas.split(), context.at_fault
+
+
 @behave.when('all responses are released')
 def release_all(context):
     for buffer in context.buffers:
--- a/papayaloom/connection/buffer_budget.py
+++ b/papayaloom/connection/buffer_budget.py
@@ -2,9 +2,16 @@
 
 The limit of a single body does not protect the process: hundreds of requests
 run at the same time.
+
+Answers the load pattern of some owners that send without end, beside others
+with usual bodies: an owner may hold at most as much as is still free (dynamic
+thresholds, Choudhury and Hahne, 1998), so that together they never fill the
+budget. An owner that is refused while it holds more than the mean has exceeded
+its part; another one has only met a full budget.
 """
 
 import collections
+import enum
 import threading
 
 import msgspec
@@ -15,8 +22,25 @@
 _MAX_OWNERS = 512
 
 
+class Room(enum.Enum):
+    """Whether an owner may hold more bytes."""
+
+    FREE = 'free'
+    OTHERS = 'the others have used it'
+    EXCEEDED = 'the owner has exceeded its part'
+
+
 class BufferFullError(errors.PapayaloomError):
-    """There is no room for more of a body."""
+    """There is no room for more of a body.
+
+    :param is_excess: its owner has exceeded its part of the budget; otherwise
+        other owners may be the cause.
+    """
+
+    def __init__(self, message: str, *, is_excess: bool = False) -> None:
+        """Store whose fault it is with the message."""
+        super().__init__(message)
+        self.is_excess = is_excess
 
 
 class Usage(msgspec.Struct):
@@ -74,25 +98,18 @@
                 for owner, one in self._usage.items()
             }
 
-    def take(self, owner: str, count: int) -> bool:
+    def take(self, owner: str, count: int) -> Room:
         """Count bytes if there is room for them; return whether there is."""
         with self._lock:
             usage = self._usage_of(owner)
             held = self._held[owner] + count
-            if (
-                held > self.cfg.owner
-                or self._held.total() + count > self.cfg.total
-            ):
+            room = self._room(held, count)
+            if room is Room.FREE:
+                self._held[owner] = held
+                usage.peak = max(usage.peak, held)
+            else:
                 usage.refused += 1
-                return False
-            self._held[owner] = held
-            usage.peak = max(usage.peak, held)
-            return True
-
-    def _usage_of(self, owner: str) -> Usage:
-        if owner not in self._usage and len(self._usage) >= _MAX_OWNERS:
-            self._usage.pop(next(iter(self._usage)))
-        return self._usage.setdefault(owner, Usage())
+            return room
 
     def give_back(self, owner: str, count: int) -> None:
         """Stop counting bytes."""
@@ -101,6 +118,23 @@
             if not self._held[owner]:
                 self._held.pop(owner)
 
+    def _room(self, held: int, count: int) -> Room:
+        """Tell whether an owner may hold this much after it has grown."""
+        if held > self.cfg.owner:
+            return Room.EXCEEDED
+        free = self.cfg.total - self._held.total()
+        # A single owner may use the whole budget.
+        needed = held if self.cfg.owner < self.cfg.total else count
+        if needed <= free:
+            return Room.FREE
+        mean = self._held.total() / max(len(self._held), 1)
+        return Room.EXCEEDED if held > mean else Room.OTHERS
+
+    def _usage_of(self, owner: str) -> Usage:
+        if owner not in self._usage and len(self._usage) >= _MAX_OWNERS:
+            self._usage.pop(next(iter(self._usage)))
+        return self._usage.setdefault(owner, Usage())
+
 
 class Buffer:
     """Bytes that one request holds, counted until they are released.
@@ -129,8 +163,8 @@
         """
         counted = max(count - self._budget.cfg.free, 0)
         added = counted - self._counted
-        if added > 0 and not self._budget.take(self._owner, added):
-            raise BufferFullError('no memory left for the body')
+        if added > 0:
+            self._take(added)
         if added < 0:
             self._budget.give_back(self._owner, -added)
         self._held = count
@@ -139,3 +173,11 @@
     def release(self) -> None:
         """Release all bytes."""
         self.resize(0)
+
+    def _take(self, count: int) -> None:
+        room = self._budget.take(self._owner, count)
+        if room is not Room.FREE:
+            raise BufferFullError(
+                f'no memory left for the body: {room.value}',
+                is_excess=room is Room.EXCEEDED,
+            )
--- a/papayaloom/connection/chunk_checker.py
+++ b/papayaloom/connection/chunk_checker.py
@@ -32,6 +32,10 @@
     """A chunk header or trailer section that the grammar does not allow."""
 
 
+class ChunkTooLongError(MalformedChunkError):
+    """Extensions or a trailer section that are longer than allowed."""
+
+
 class _Part(enum.Enum):
     HEADER = 'chunk header'
     CONTENT = 'chunk data'
@@ -106,7 +110,7 @@
 
     def _check_chunk_header(self, line: bytes, *, is_complete: bool) -> None:
         if len(line) > self._extension_bytes_left:
-            raise MalformedChunkError('the chunk extensions are too long')
+            raise ChunkTooLongError('the chunk extensions are too long')
         if not is_complete:
             return
         parts = _CHUNK_HEADER.fullmatch(line)
@@ -119,7 +123,7 @@
 
     def _check_trailer(self, line: bytes, *, is_complete: bool) -> None:
         if len(line) > self._trailer_bytes_left:
-            raise MalformedChunkError('the trailer section is too long')
+            raise ChunkTooLongError('the trailer section is too long')
         if line.startswith((b' ', b'\t')):
             raise MalformedChunkError('a trailer section has a folded line')
         if is_complete:
--- a/papayaloom/connection/message_parser.py
+++ b/papayaloom/connection/message_parser.py
@@ -31,12 +31,20 @@
     """A message that RFC 9112 does not allow, or whose head is too long.
 
     :param status: status of the response if the message is a request.
+    :param is_too_long: a part of it is longer than allowed.
     """
 
-    def __init__(self, why: str, status: int = _BAD_REQUEST) -> None:
+    def __init__(
+        self,
+        why: str,
+        status: int = _BAD_REQUEST,
+        *,
+        is_too_long: bool = False,
+    ) -> None:
         """Describe what is wrong."""
         super().__init__(why)
         self.status = status
+        self.is_too_long = is_too_long or status == _TOO_LARGE
 
 
 class MessageParser:
@@ -88,6 +96,8 @@
         except h11.RemoteProtocolError as exc:
             # What follows the colon is part of the message, perhaps a key.
             raise MalformedMessageError(str(exc).partition(':')[0]) from exc
+        except chunk_checker.ChunkTooLongError as exc:
+            raise MalformedMessageError(str(exc), is_too_long=True) from exc
         except chunk_checker.MalformedChunkError as exc:
             raise MalformedMessageError(str(exc)) from exc
 
--- a/papayaloom/connection/upstream_connection.py
+++ b/papayaloom/connection/upstream_connection.py
@@ -194,7 +194,7 @@
                 self._informational_responses
                 > self._limits.informational_responses
             ):
-                raise self._upstream_error(
+                raise self._unbounded_error(
                     'sent informational heads without end'
                 )
 
@@ -202,9 +202,10 @@
         try:
             event = self._parser.next_event()
         except message_parser.MalformedMessageError as exc:
-            raise self._upstream_error(
-                f'no answer in the protocol: {exc}'
-            ) from exc
+            why = f'no answer in the protocol: {exc}'
+            if exc.is_too_long:
+                raise self._unbounded_error(why) from exc
+            raise self._upstream_error(why) from exc
         if event is not h11.NEED_DATA:
             self._charge(response_limits.PART_COST_BYTES)
         return event
@@ -260,7 +261,7 @@
         self.cost_bytes += charged_bytes
         self._allowed_bytes -= charged_bytes
         if self._allowed_bytes < 0:
-            raise self._upstream_error('sent more than an answer may have')
+            raise self._unbounded_error('sent more than an answer may have')
 
     def _new_request(self, head: RequestHead) -> h11.Request:
         """Validate the head.
@@ -280,6 +281,13 @@
     def _new_parser(self) -> message_parser.MessageParser:
         return message_parser.response_parser(self._limits.head)
 
+    def _unbounded_error(
+        self, why: str
+    ) -> response_limits.UnboundedResponseError:
+        return response_limits.UnboundedResponseError(
+            f'upstream {self.address[0]}:{self.address[1]}: {why}'
+        )
+
     def _upstream_error(self, why: str) -> errors.UpstreamError:
         return errors.UpstreamError(
             f'upstream {self.address[0]}:{self.address[1]}: {why}',
--- a/papayaloom/platform/main.py
+++ b/papayaloom/platform/main.py
@@ -11,7 +11,13 @@
 
 from papayaloom import errors
 from papayaloom.commands import bounded_log, logs, stop_signals
-from papayaloom.platform import documents, headers, settings, store
+from papayaloom.platform import (
+    documents,
+    headers,
+    large_blocks,
+    settings,
+    store,
+)
 from papayaloom.process import gateway, store_view
 
 
@@ -33,6 +39,7 @@
     """Run the process until a signal stops it."""
     output = bounded_log.BoundedLog(sys.stdout)
     logs.configure(output)
+    large_blocks.map_separately()
     try:
         cfg = settings.load(settings.path_from_environment())
         process = gateway.Gateway(
--- a/papayaloom/process/forward_attempt.py
+++ b/papayaloom/process/forward_attempt.py
@@ -51,6 +51,8 @@
         # Monotonic time at which the current wait times out.
         self._wait_deadline = time.monotonic()
         self._initial_progress = job.joiner.progress
+        # Parts with comments since the last event.
+        self._comments = 0
 
     @property
     def has_begun(self) -> bool:
@@ -77,8 +79,7 @@
         )
         response, metadata = self._receive_matching_response(head)
         if metadata.is_not_run:
-            self._skip_body()
-            return _failed(_NOT_RUN, f'refused with {response.status_code}')
+            return self._refused(response.status_code)
         if not metadata.receipt or metadata.is_encoded:
             raise errors.UpstreamError('no receipt', _MAY_HAVE_RUN)
         if forward_job.is_event_stream(self._job, response):
@@ -129,8 +130,8 @@
                 return response, metadata
             self._skip_body()
             self._conn.skip_answer(head)
-        raise errors.UpstreamError(
-            'too many answers to other requests', _MAY_HAVE_RUN
+        raise response_limits.UnboundedResponseError(
+            'too many answers to other requests'
         )
 
     def _matches_request(
@@ -158,8 +159,7 @@
         try:
             body = self._read_body()
         except buffer_budget.BufferFullError as exc:
-            # Other replicas may hold the memory, so this one has not failed.
-            return _failed(_MAY_HAVE_RUN, str(exc))
+            return _no_room(exc)
         buffered = forward_job.BufferedResponse(
             response.status_code, self._caller_headers(response), body
         )
@@ -197,6 +197,9 @@
     def _forward_stream(self, response: h11.Response) -> Outcome:
         joiner = self._job.joiner
         joiner.restart()
+        if joiner.last is None:
+            # A resumed stream may repeat more than that before a new event.
+            self._conn.set_byte_limit(self._limits.event)
         while True:
             part = self._receive_part()
             if part is None:
@@ -205,7 +208,7 @@
             try:
                 self._buffer.resize(joiner.buffered_bytes)
             except buffer_budget.BufferFullError as exc:
-                return _failed(_MAY_HAVE_RUN, str(exc))
+                return _no_room(exc)
         if joiner.has_partial_event:
             raise errors.UpstreamError(
                 'ended inside an event', _MAY_HAVE_RUN, crashed=True
@@ -220,10 +223,14 @@
         joined = joiner.feed(part)
         if joined.content:
             self._write_events(response, joined.content)
+        if joined.is_too_long:
+            raise response_limits.UnboundedResponseError(joined.problem)
         if joined.problem:
             raise errors.UpstreamError(joined.problem, _MAY_HAVE_RUN)
         if joiner.progress > before:
             self._renew_limits()
+        elif joined.content:
+            self._count_comment()
 
     def _write_events(self, response: h11.Response, content: bytes) -> None:
         if not self._job.progress.has_begun:
@@ -235,8 +242,16 @@
                 f'not written: {exc}'
             ) from exc
 
+    def _count_comment(self) -> None:
+        self._comments += 1
+        if self._comments > self._limits.comments:
+            raise response_limits.UnboundedResponseError(
+                'sent comments without an event'
+            )
+
     def _renew_limits(self) -> None:
         """Reset the byte limit and the pause limit after an event."""
+        self._comments = 0
         self._conn.set_byte_limit(self._limits.event)
         self._set_wait(
             forwarding.max_event_gap_s(
@@ -274,12 +289,42 @@
             self._buffer.grow(len(part))
             body += part
 
+    def _refused(self, status: int) -> Outcome:
+        """Skip the body; the promise in the head holds whatever its length."""
+        reason = f'refused with {status}'
+        self._conn.set_byte_limit(self._limits.event)
+        try:
+            self._skip_body()
+        except response_limits.UnboundedResponseError as exc:
+            return result.Err(
+                forward_job.Failure(
+                    _NOT_RUN,
+                    f'{reason}, {exc}',
+                    replica_failed=True,
+                    is_unbounded=True,
+                )
+            )
+        return _failed(_NOT_RUN, reason)
+
     def _skip_body(self) -> None:
         part: bytes | None = b''
         while part is not None:
             part = self._receive_part()
 
 
+def _no_room(exc: buffer_budget.BufferFullError) -> Outcome:
+    """Return the failure of a response that found no room.
+
+    :raises response_limits.UnboundedResponseError: its replica used the room;
+        a replica that only met a full budget has not failed.
+    """
+    if exc.is_excess:
+        raise response_limits.UnboundedResponseError(str(exc)) from exc
+    return result.Err(
+        forward_job.Failure(_MAY_HAVE_RUN, str(exc), lacked_room=True)
+    )
+
+
 def _failed(
     verdict: errors.Verdict, reason: str, *, replica_failed: bool | None = None
 ) -> Outcome:
--- a/papayaloom/process/forward_job.py
+++ b/papayaloom/process/forward_job.py
@@ -34,6 +34,8 @@
     :param error_response: error response of a replica, which the caller gets if
         no other attempt succeeds.
     :param buffers: bytes held for the responses of the attempts.
+    :param proven_since: start of the last attempt if it shows that a replica
+        sends without end; the next replica must have succeeded since then.
     :param joiner: joins the event streams of the attempts; unused for plain
         calls.
     """
@@ -54,6 +56,7 @@
     tried: set[str] = msgspec.field(default_factory=set)
     error_response: BufferedResponse | None = None
     buffers: list[buffer_budget.Buffer] = msgspec.field(default_factory=list)
+    proven_since: float | None = None
 
     def remaining_s(self) -> float:
         """Return the time until the deadline."""
@@ -67,6 +70,8 @@
     :param process_ended: the replica's process ended during the attempt.
     :param has_begun: the response had gone beyond its first event.
     :param is_error_response: the replica answered with an error status.
+    :param is_unbounded: the replica sent more than it may.
+    :param lacked_room: other replicas, which send without end, used the memory.
     """
 
     verdict: errors.Verdict
@@ -76,6 +81,8 @@
     process_ended: bool = False
     has_begun: bool = False
     is_error_response: bool = False
+    is_unbounded: bool = False
+    lacked_room: bool = False
 
 
 def count_failure(progress: forwarding.Progress, failure: Failure) -> None:
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -24,6 +24,7 @@
 from papayaloom.routing import (
     dispatch,
     dispatch_messages,
+    placement_problems,
     replica_choice,
     replicas,
 )
@@ -32,6 +33,13 @@
 
 _log = structlog.get_logger('forward')
 _SERVER_ERROR = 500
+# How often a retry after an unbounded response is tried again, and for how long
+# at most, also as a share of the time left, so that it can still be answered.
+_POLL_S = 0.1
+_MAX_WAIT_S = 3.0
+_MAX_WAIT_SHARE = 0.5
+_UNPROVEN = placement_problems.unproven()
+_WAITABLE = (_UNPROVEN, placement_problems.budget_spent())
 _NOT_RUN = errors.Verdict.NOT_RUN
 _MAY_HAVE_RUN = errors.Verdict.MAY_HAVE_RUN
 
@@ -86,7 +94,7 @@
 
     def _forward(self, job: forward_job.Job) -> int:
         while True:
-            placement = self._place(job)
+            placement = self._place_patiently(job)
             if isinstance(placement, result.Err):
                 return self._give_up(job, placement.err_value)
             self._log_placement(job, placement.ok_value)
@@ -103,6 +111,28 @@
                     job, forward_job.failure_problem(job, failure)
                 )
 
+    def _place_patiently(
+        self, job: forward_job.Job
+    ) -> dispatch.PlacementResult:
+        """Place an attempt; one after an unbounded response may wait a moment.
+
+        Many requests are at a replica when it begins to send without end, and
+        others may begin at the same time. The successes of the sound ones show
+        which these are, and pay for retries beyond what the budget has saved.
+        """
+        placement = self._place(job)
+        if job.proven_since is None:
+            return placement
+        left_s = job.remaining_s() * _MAX_WAIT_SHARE
+        wait_until = time.monotonic() + min(left_s, _MAX_WAIT_S)
+        while placement.err() in _WAITABLE and time.monotonic() < wait_until:
+            time.sleep(_POLL_S)
+            placement = self._place(job)
+        if placement.err() == _UNPROVEN:
+            job.proven_since = None
+            placement = self._place(job)
+        return placement
+
     def _place(self, job: forward_job.Job) -> dispatch.PlacementResult:
         request = dispatch_messages.PlacementRequest(
             service=job.service,
@@ -115,6 +145,7 @@
             objective_s=job.route.objective_s,
             left_s=job.remaining_s(),
             parts=forward_job.shared_parts(job),
+            proven_since=job.proven_since,
         )
         return self._deps.dispatch_client.place(request)
 
@@ -132,8 +163,16 @@
                 job, replica, result.Err(abandoned), started_at
             )
             raise
+        job.proven_since = None
         if isinstance(outcome, result.Err):
-            forward_job.count_failure(job.progress, outcome.err_value)
+            failure = outcome.err_value
+            forward_job.count_failure(job.progress, failure)
+            if failure.is_unbounded or failure.lacked_room:
+                job.proven_since = started_at
+                self._log_no_bound(replica, failure)
+            if not (failure.is_error_response or failure.is_unreachable):
+                # What was received is dropped, so others may use the room.
+                job.buffers[-1].release()
         self._report_outcome(job, replica, outcome, started_at)
         return outcome
 
@@ -227,6 +266,7 @@
                 organisation=job.organisation,
                 duration_s=duration_s,
                 is_error_response=bool(failure and failure.is_error_response),
+                is_unbounded=bool(failure and failure.is_unbounded),
                 parts=forward_job.shared_parts(job),
             )
         )
@@ -261,6 +301,22 @@
             left_s=round(job.remaining_s(), 3),
         )
 
+    def _log_no_bound(
+        self, replica: replicas.Replica, failure: forward_job.Failure
+    ) -> None:
+        usage = self._deps.buffers.usage().get(
+            replica.id, buffer_budget.Usage()
+        )
+        _log.info(
+            'forward: a response exceeded a bound',
+            replica=replica.id,
+            is_at_fault=failure.is_unbounded,
+            why=failure.reason,
+            held_bytes=usage.held,
+            all_held_bytes=self._deps.buffers.held_bytes,
+            refused=usage.refused,
+        )
+
     def _log_failure(
         self,
         job: forward_job.Job,
@@ -320,4 +376,5 @@
         has_run or None,
         process_ended=exc.crashed and probe.has_ended(replica.address),
         has_begun=has_begun,
+        is_unbounded=isinstance(exc, response_limits.UnboundedResponseError),
     )
--- a/papayaloom/request/event_joiner.py
+++ b/papayaloom/request/event_joiner.py
@@ -26,10 +26,12 @@
 
     :param content: complete new events, up to the first faulty one.
     :param problem: why the stream can't go on after them; empty if it can.
+    :param is_too_long: the problem is an event without an end.
     """
 
     content: bytes
     problem: str = ''
+    is_too_long: bool = False
 
 
 class EventJoiner:
@@ -79,11 +81,13 @@
         self._buffer += chunk
         new_events: list[bytes] = []
         problem = ''
+        is_too_long = False
         start = 0
         while not problem:
             terminator = _EVENT_TERMINATOR.search(self._buffer, start)
             if terminator is None:
                 problem = self._length_problem(start)
+                is_too_long = bool(problem)
                 break
             content = self._buffer[start : terminator.end()]
             start = terminator.end()
@@ -91,7 +95,7 @@
                 Event(content, _event_id(content)), new_events
             )
         self._buffer = self._buffer[start:]
-        return Joined(b''.join(new_events), problem)
+        return Joined(b''.join(new_events), problem, is_too_long)
 
     def _accept(self, event: Event, new_events: list[bytes]) -> str:
         """Add an event if it is new; return why it is faulty, or nothing."""
--- a/papayaloom/routing/decision_counts.py
+++ b/papayaloom/routing/decision_counts.py
@@ -10,6 +10,8 @@
     # A response that states a slow machine, and a request placed on one.
     SLOW_REPORTED = 'slow_machine_reported'
     PLACED_ON_SLOW = 'placed_on_slow_machine'
+    # A replica sent more than a response, or its part of the memory, allows.
+    UNBOUNDED = 'unbounded_response'
 
 
 class DecisionCounts:
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -114,7 +114,14 @@
                     self._availability.pause_retry_s(ready, now),
                 )
             )
-        chosen = self._choose(request, ready, candidates, now)
+        proven = self._availability.proven(
+            request.service, candidates, request.proven_since
+        )
+        if not proven and self._load_estimates.runs_any(
+            one.id for one in candidates
+        ):
+            return result.Err(placement_problems.unproven())
+        chosen = self._choose(request, ready, proven or candidates, now)
         if isinstance(chosen, result.Ok):
             self._record_placement(request, chosen.ok_value, now)
         return chosen
@@ -309,7 +316,14 @@
             failed = set()
         else:
             failed = {chosen}
-        return [one for one in failed if ejections.record_failure(one, now)]
+        is_unbounded = attempt_result.is_unbounded
+        if is_unbounded:
+            self.decisions.add(decision_counts.Decision.UNBOUNDED)
+        return [
+            one
+            for one in failed
+            if ejections.record_failure(one, now, is_certain=is_unbounded)
+        ]
 
     def _failed_on_their_own(
         self, attempt_result: dispatch_messages.AttemptResult, now: float
--- a/papayaloom/routing/dispatch_messages.py
+++ b/papayaloom/routing/dispatch_messages.py
@@ -18,6 +18,9 @@
     :param objective_s: target time to the response or the first event.
     :param left_s: time left until the deadline.
     :param parts: names of the prompt parts that other requests may share.
+    :param proven_since: place it only on replicas that have succeeded since
+        this time while such a success can be expected, because others may have
+        begun to fail as the last one did.
     """
 
     service: ids.ServiceId
@@ -30,6 +33,7 @@
     objective_s: float = 1
     left_s: float = 10
     parts: tuple[ids.Fingerprint, ...] = ()
+    proven_since: float | None = None
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
@@ -46,6 +50,7 @@
     :param is_error_response: the replica answered with an error status, which
         may be the fault of the request.
     :param parts: names of the prompt parts that other requests may share.
+    :param is_unbounded: the replica sent more than it may.
     """
 
     service: ids.ServiceId
@@ -59,6 +64,7 @@
     duration_s: float | None = None
     is_error_response: bool = False
     parts: tuple[ids.Fingerprint, ...] = ()
+    is_unbounded: bool = False
 
 
 def subject(
--- a/papayaloom/routing/health/ejection.py
+++ b/papayaloom/routing/health/ejection.py
@@ -19,6 +19,8 @@
     :param base_s: duration of the first ejection; each further one doubles it.
     :param longest_s: maximum duration of an ejection.
     :param max_share: maximum fraction of a model's upstreams that is ejected.
+    :param max_share_certain: the same for a failure that only the upstream can
+        have caused, so that the others are known to be no worse.
     """
 
     consecutive: int = 5
@@ -28,6 +30,7 @@
     base_s: float = 5
     longest_s: float = 120
     max_share: float = 0.34
+    max_share_certain: float = 0.5
 
 
 class Status(enum.Enum):
@@ -44,6 +47,7 @@
     :param failed: recent results, oldest first; true for a failure.
     :param ejected_until: end of the ejection; None while the upstream serves.
     :param trial_sent: when the pending trial request was sent, if any.
+    :param succeeded_at: when it last succeeded, if ever.
     """
 
     failed: collections.deque[bool]
@@ -51,6 +55,7 @@
     ejections: int = 0
     ejected_until: float | None = None
     trial_sent: float | None = None
+    succeeded_at: float | None = None
 
 
 class Ejection:
@@ -95,6 +100,7 @@
         entry = self._results.get(upstream)
         if entry is None:
             return
+        entry.succeeded_at = now
         if entry.ejected_until is not None:
             # A request sent before the ejection says nothing about recovery.
             if entry.trial_sent is None:
@@ -107,9 +113,19 @@
         if len(entry.failed) >= self._cfg.window and not any(entry.failed):
             entry.ejections = 0
 
-    def record_failure(self, upstream: str, now: float) -> bool:
+    def has_succeeded_since(self, upstream: str, since: float) -> bool:
+        """Whether an upstream has succeeded since a time."""
+        entry = self._results.get(upstream)
+        if entry is None or entry.succeeded_at is None:
+            return False
+        return entry.succeeded_at >= since
+
+    def record_failure(
+        self, upstream: str, now: float, *, is_certain: bool = False
+    ) -> bool:
         """Record a failure.
 
+        :param is_certain: only the upstream can have caused it.
         :returns: whether this failure ejected the upstream.
         """
         entry = self._results.get(upstream)
@@ -121,7 +137,10 @@
             if entry.trial_sent is not None:
                 self._eject(entry, now)
             return False
-        if not self._is_outlier(entry) or not self._may_eject():
+        max_share = self._cfg.max_share
+        if is_certain:
+            max_share = max(max_share, self._cfg.max_share_certain)
+        if not self._is_outlier(entry) or not self._may_eject(max_share):
             return False
         self._eject(entry, now)
         return True
@@ -167,9 +186,9 @@
         )
         return is_failing and ratio - mean_of_others >= self._cfg.above_others
 
-    def _may_eject(self) -> bool:
+    def _may_eject(self, max_share: float) -> bool:
         """Return whether the limit allows another ejection."""
-        max_ejected = int(self._cfg.max_share * len(self._results))
+        max_ejected = int(max_share * len(self._results))
         return len(self.ejected()) < max_ejected
 
     def _eject(self, entry: UpstreamResults, now: float) -> None:
--- a/papayaloom/routing/health/replica_availability.py
+++ b/papayaloom/routing/health/replica_availability.py
@@ -80,6 +80,26 @@
         ]
         return not_ejected or reachable or untried
 
+    def proven(
+        self,
+        service: ids.ServiceId,
+        candidates: list[replicas.Replica],
+        since: float | None,
+    ) -> list[replicas.Replica]:
+        """Return the replicas that have succeeded since a time, if one is given.
+
+        When several replicas begin to fail at once, the last failures do not
+        yet tell which, but later successes tell which do not.
+        """
+        if since is None:
+            return candidates
+        ejections = self.ejections(service)
+        return [
+            one
+            for one in candidates
+            if ejections.has_succeeded_since(one.id, since)
+        ]
+
     def pause_retry_s(
         self, ready: typing.Iterable[replicas.Replica], now: float
     ) -> float:
--- a/papayaloom/routing/load/load_estimates.py
+++ b/papayaloom/routing/load/load_estimates.py
@@ -135,6 +135,10 @@
         """Return the running requests of this router, by replica."""
         return dict(self._own)
 
+    def runs_any(self, replicas: typing.Iterable[str]) -> bool:
+        """Whether one of some replicas has a request of this router."""
+        return any(replica in self._own for replica in replicas)
+
     def estimates(
         self,
         replicas: typing.Sequence[str],
--- a/papayaloom/routing/placement_problems.py
+++ b/papayaloom/routing/placement_problems.py
@@ -46,6 +46,11 @@
     return errors.Problem('the request fails at every replica', 503)
 
 
+def unproven() -> errors.Problem:
+    """Return the problem for a retry that awaits a success of any replica."""
+    return errors.Problem('no replica has succeeded since the failure', 503)
+
+
 def budget_spent() -> errors.Problem:
     """Return the problem for a retry that the retry budget does not allow."""
     return errors.Problem(
