--- a/papayaloom/platform/main.py
+++ b/papayaloom/platform/main.py
@@ -12,7 +12,7 @@
 from papayaloom import errors
 from papayaloom.commands import bounded_log, logs, stop_signals
 from papayaloom.platform import documents, headers, settings, store
-from papayaloom.process import gateway, store_view
+from papayaloom.process import gateway, large_blocks, store_view
 
 
 # Longest time for writing the log lines that are still buffered at exit.
@@ -33,6 +33,7 @@
     """Run the process until a signal stops it."""
     output = bounded_log.BoundedLog(sys.stdout)
     logs.configure(output)
+    large_blocks.map_separately()
     try:
         cfg = settings.load(settings.path_from_environment())
         process = gateway.Gateway(
--- a/papayaloom/process/forward_job.py
+++ b/papayaloom/process/forward_job.py
@@ -34,6 +34,8 @@
     :param error_response: error response of a replica, which the caller gets if
         no other attempt succeeds.
     :param buffers: bytes held for the responses of the attempts.
+    :param proven_since: start of the last attempt if it shows that a replica
+        sends without end; the next replica must have succeeded since then.
     :param joiner: joins the event streams of the attempts; unused for plain
         calls.
     """
@@ -54,6 +56,7 @@
     tried: set[str] = msgspec.field(default_factory=set)
     error_response: BufferedResponse | None = None
     buffers: list[buffer_budget.Buffer] = msgspec.field(default_factory=list)
+    proven_since: float | None = None
 
     def remaining_s(self) -> float:
         """Return the time until the deadline."""
@@ -69,6 +72,8 @@
     :param is_error_response: the replica answered with an error status.
     :param replica: the replica if it is not the one of the first copy.
     :param is_refused: the replica was full and did not run the request.
+    :param is_unbounded: the replica sent more than it may.
+    :param lacked_room: other replicas, which send without end, used the memory.
     """
 
     verdict: errors.Verdict
@@ -80,6 +85,8 @@
     is_error_response: bool = False
     replica: replicas.ReplicaId | None = None
     is_refused: bool = False
+    is_unbounded: bool = False
+    lacked_room: bool = False
 
 
 def count_failure(progress: forwarding.Progress, failure: Failure) -> None:
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -9,7 +9,6 @@
 
 import msgspec
 import result
-import structlog
 
 from papayaloom import errors
 from papayaloom.connection import (
@@ -25,12 +24,14 @@
     dispatch_actor,
     forward_attempt,
     forward_job,
+    forward_log,
     hedged_exchange,
     request_copy,
 )
 from papayaloom.routing import (
     dispatch,
     dispatch_messages,
+    placement_problems,
     replica_choice,
     replicas,
 )
@@ -38,8 +39,14 @@
 from papayaloom.routing.poison import poison_evidence
 from papayaloom.request import forwarding, header_dialect
 
-_log = structlog.get_logger('forward')
 _SERVER_ERROR = 500
+# How often a retry after an unbounded response is tried again, and for how long
+# at most, also as a share of the time left, so that it can still be answered.
+_POLL_S = 0.1
+_MAX_WAIT_S = 3.0
+_MAX_WAIT_SHARE = 0.5
+_UNPROVEN = placement_problems.unproven()
+_WAITABLE = (_UNPROVEN, placement_problems.budget_spent())
 _NOT_RUN = errors.Verdict.NOT_RUN
 _MAY_HAVE_RUN = errors.Verdict.MAY_HAVE_RUN
 
@@ -82,6 +89,10 @@
         """Bytes of responses that are held, beyond the free part of each."""
         return self._deps.buffers.held_bytes
 
+    def buffer_usage(self) -> dict[str, buffer_budget.Usage]:
+        """Return what the responses of each replica have held."""
+        return self._deps.buffers.usage()
+
     def forward(self, job: forward_job.Job) -> int:
         """Forward a request and send the response to the caller.
 
@@ -101,10 +112,10 @@
 
     def _forward(self, job: forward_job.Job) -> int:
         while True:
-            placement = self._place(job)
+            placement = self._place_patiently(job)
             if isinstance(placement, result.Err):
                 return self._give_up(job, placement.err_value)
-            self._log_placement(job, placement.ok_value)
+            forward_log.placed(job, placement.ok_value)
             outcome = self._attempt(job, placement.ok_value)
             if isinstance(outcome, result.Ok):
                 return outcome.ok_value
@@ -112,12 +123,34 @@
             step = forwarding.after_failure(
                 job.route, job.progress, failure.verdict, job.remaining_s()
             )
-            self._log_failure(job, placement.ok_value.replica, failure, step)
+            forward_log.failed(job, placement.ok_value.replica, failure, step)
             if step is forwarding.Step.FAIL:
                 return self._give_up(
                     job, forward_job.failure_problem(job, failure)
                 )
 
+    def _place_patiently(
+        self, job: forward_job.Job
+    ) -> dispatch.PlacementResult:
+        """Place an attempt; one after an unbounded response may wait a moment.
+
+        Many requests are at a replica when it begins to send without end, and
+        others may begin at the same time. The successes of the sound ones show
+        which these are, and pay for retries beyond what the budget has saved.
+        """
+        placement = self._place(job)
+        if job.proven_since is None:
+            return placement
+        left_s = job.remaining_s() * _MAX_WAIT_SHARE
+        wait_until = time.monotonic() + min(left_s, _MAX_WAIT_S)
+        while placement.err() in _WAITABLE and time.monotonic() < wait_until:
+            time.sleep(_POLL_S)
+            placement = self._place(job)
+        if placement.err() == _UNPROVEN:
+            job.proven_since = None
+            placement = self._place(job)
+        return placement
+
     def _place(
         self,
         job: forward_job.Job,
@@ -138,6 +171,7 @@
             rank=forward_job.rank(job),
             waited_s=max(job.route.timeout_s - job.remaining_s(), 0),
             draw=rank_admission.draw(job.fingerprint, time.time()),
+            proven_since=job.proven_since,
         )
         return self._deps.dispatch_client.place(request)
 
@@ -160,8 +194,16 @@
                 job, replica, result.Err(abandoned), started_at
             )
             raise
+        job.proven_since = None
         if isinstance(outcome, result.Err):
-            forward_job.count_failure(job.progress, outcome.err_value)
+            failure = outcome.err_value
+            forward_job.count_failure(job.progress, failure)
+            if failure.is_unbounded or failure.lacked_room:
+                job.proven_since = started_at
+                forward_log.exceeded(replica, failure, self._deps.buffers)
+            if not (failure.is_error_response or failure.is_unreachable):
+                # What was received is dropped, so others may use the room.
+                job.buffers[-1].release()
         self._report_outcome(job, replica, outcome, started_at)
         return outcome
 
@@ -228,6 +270,9 @@
             and self._deps.dispatch_client.may_contact(replica)
             and probe.has_ended(replica.address),
             has_begun=has_begun,
+            is_unbounded=isinstance(
+                exc, response_limits.UnboundedResponseError
+            ),
         )
 
     def _new_attempt(
@@ -287,6 +332,7 @@
                 organisation=job.organisation,
                 duration_s=duration_s,
                 is_error_response=bool(failure and failure.is_error_response),
+                is_unbounded=bool(failure and failure.is_unbounded),
                 parts=forward_job.shared_parts(job),
                 is_hedge=copy.is_hedge,
                 is_cancelled=copy.is_cancelled,
@@ -302,61 +348,6 @@
             return job.error_response.status
         raise errors.RefusedError(forward_job.final_problem(job, problem))
 
-    def _log_placement(
-        self, job: forward_job.Job, choice: replica_choice.Choice
-    ) -> None:
-        _log.info(
-            'forward: request placed',
-            request=job.request_info.request_id,
-            fingerprint=job.fingerprint,
-            route=job.route.name,
-            version=job.version,
-            replica=choice.replica.id,
-            prefix=forward_job.shared_prefix(job),
-            prefix_tokens=forward_job.shared_tokens(job),
-            load=round(choice.estimate.total, 1),
-            mean=round(choice.mean, 1),
-            bound=round(choice.bound, 1),
-            report_age_s=round(choice.estimate.age_s, 2),
-            preferred_per_s=round(choice.preferred_per_s, 1),
-            copy_from=choice.source.id if choice.source else '',
-            tried=len(job.tried),
-            left_s=round(job.remaining_s(), 3),
-        )
-
-    def _log_failure(
-        self,
-        job: forward_job.Job,
-        replica: replicas.Replica,
-        failure: forward_job.Failure,
-        step: forwarding.Step,
-    ) -> None:
-        _log.info(
-            'forward: attempt failed',
-            request=job.request_info.request_id,
-            fingerprint=job.fingerprint,
-            route=job.route.name,
-            replica=failure.replica or replica.id,
-            verdict=failure.verdict.value,
-            why=failure.reason,
-            has_ended=failure.process_ended,
-            has_begun=failure.has_begun,
-            parts=_suspect_parts(job, failure),
-            runs=job.progress.runs,
-            after_event=job.joiner.last,
-            left_s=round(job.remaining_s(), 3),
-            step=step.value,
-        )
-
-
-def _suspect_parts(
-    job: forward_job.Job, failure: forward_job.Failure
-) -> tuple[str, ...]:
-    """Return the prompt parts that may have terminated the replica."""
-    if not failure.process_ended or failure.has_begun:
-        return ()
-    return forward_job.shared_parts(job)
-
 
 def _suspicion(
     job: forward_job.Job,
--- a/papayaloom/routing/decision_counts.py
+++ b/papayaloom/routing/decision_counts.py
@@ -31,6 +31,8 @@
     REJECTED_BY_RANK = 'rejected_by_rank'
     REJECTED_FOR_PREFIX = 'rejected_for_prefix'
     REFUSED_BY_REPLICA = 'refused_by_replica'
+    # A replica sent more than a response, or its part of the memory, allows.
+    UNBOUNDED = 'unbounded_response'
 
 
 class DecisionCounts:
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -17,6 +17,7 @@
     placement_problems,
     replica_choice,
     replicas,
+    service_admission,
 )
 from papayaloom.routing.health import (
     attempt_health,
@@ -100,6 +101,9 @@
         self._health = attempt_health.AttemptHealth(
             self._availability, self._budgets
         )
+        self._admission = service_admission.ServiceAdmission(
+            self._shedder, self._traffic, self._health
+        )
         self._hedging = hedging.Hedging(
             cfg.hedges,
             self.decisions,
@@ -150,9 +154,16 @@
                     self._availability.pause_retry_s(ready, now),
                 )
             )
+        proven = self._availability.proven(
+            request.service, candidates, request.proven_since
+        )
+        if not proven and self._load_estimates.runs_any(
+            one.id for one in candidates
+        ):
+            return result.Err(placement_problems.unproven())
         chosen = self.cold.choose(
             request,
-            candidates,
+            proven or candidates,
             lambda among, cold: self._choose(request, ready, among, cold, now),
             now,
         )
@@ -178,6 +189,8 @@
             self._traffic.offered.record_completed(
                 attempt_result.service, attempt_result.duration_s, now
             )
+        if attempt_result.is_unbounded:
+            self.decisions.add(decision_counts.Decision.UNBOUNDED)
         if attempt_result.is_refused:
             self.decisions.add(decision_counts.Decision.REFUSED_BY_REPLICA)
         self.poison.record_attempt(
@@ -296,7 +309,7 @@
             load = hedging.Load(estimates, traffic, len(ready))
             admission = self._hedging.admit(request, candidates, load, now)
         else:
-            admission = self._admit(
+            admission = self._admission.admit(
                 request, candidates, estimates, traffic, is_cold, now
             )
         if isinstance(admission, errors.Problem):
@@ -306,7 +319,9 @@
             request, ready, admission.replicas, limited, now
         )
         if not allowed:
-            return self._rejected(request, placement_problems.rate_limited, now)
+            return self._admission.rejected(
+                request, placement_problems.rate_limited, now
+            )
         choice = replica_choice.choose(
             self._eligible(request, allowed, limited, admission.crowding, now),
             estimates,
@@ -317,50 +332,10 @@
         )
         if choice is None:
             self.decisions.add(decision_counts.Decision.REJECTED_FOR_PREFIX)
-            return self._rejected(request, placement_problems.prefix_full, now)
-        return result.Ok(choice)
-
-    def _admit(
-        self,
-        request: dispatch_messages.PlacementRequest,
-        candidates: list[replicas.Replica],
-        estimates: dict[str, load_estimates.LoadEstimate],
-        traffic: replica_choice.Traffic,
-        is_cold: bool,
-        now: float,
-    ) -> load_shedding.Admission | errors.Problem:
-        """Return the replicas that may get a request, or why none may."""
-        demand = load_shedding.demand(request)
-        load = load_shedding.Load(
-            candidates,
-            estimates,
-            traffic.service_time_s,
-            traffic.arrivals_per_s,
-            self._traffic.hosts,
-        )
-        if is_cold:
-            admission = cold_choice.admit(demand, load)
-        else:
-            ranked = self._traffic.record_offered(
-                request.service, demand.precedence, now
+            return self._admission.rejected(
+                request, placement_problems.prefix_full, now
             )
-            load = msgspec.structs.replace(load, ranked=ranked)
-            admission = self._shedder.admit(demand, load, now)
-        if isinstance(admission, errors.Problem):
-            return admission
-        return self._health.retry_refusal(request, now) or admission
-
-    def _rejected(
-        self,
-        request: dispatch_messages.PlacementRequest,
-        problem: typing.Callable[[ids.ServiceId], errors.Problem],
-        now: float,
-    ) -> PlacementResult:
-        """Count a rejection, and return it with a retry delay."""
-        found = problem(request.service)
-        return result.Err(
-            self._shedder.reject(load_shedding.demand(request), found, now)
-        )
+        return result.Ok(choice)
 
     def _record_placement(
         self,
--- a/papayaloom/routing/dispatch_messages.py
+++ b/papayaloom/routing/dispatch_messages.py
@@ -24,6 +24,9 @@
         priority of its route; 0 is the most urgent.
     :param waited_s: time that its caller has waited before it arrived here.
     :param draw: 0 to 1, the same for its repetitions; None to draw at random.
+    :param proven_since: place it only on replicas that have succeeded since
+        this time while such a success can be expected, because others may have
+        begun to fail as the last one did.
     """
 
     service: ids.ServiceId
@@ -40,6 +43,7 @@
     rank: tuple[int, int] = (0, 0)
     waited_s: float = 0
     draw: float | None = None
+    proven_since: float | None = None
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
@@ -59,6 +63,7 @@
     :param is_hedge: the attempt was the second copy of a request.
     :param is_cancelled: the other copy of the request was answered first.
     :param is_refused: the replica was full and did not run it.
+    :param is_unbounded: the replica sent more than it may.
     """
 
     service: ids.ServiceId
@@ -75,6 +80,7 @@
     is_hedge: bool = False
     is_cancelled: bool = False
     is_refused: bool = False
+    is_unbounded: bool = False
 
 
 def subject(
--- a/papayaloom/routing/health/attempt_health.py
+++ b/papayaloom/routing/health/attempt_health.py
@@ -49,7 +49,12 @@
             failed = set()
         else:
             failed = {chosen}
-        return [one for one in failed if ejections.record_failure(one, now)]
+        is_certain = attempt_result.is_unbounded
+        return [
+            one
+            for one in failed
+            if ejections.record_failure(one, now, is_certain=is_certain)
+        ]
 
     def retry_refusal(
         self, request: dispatch_messages.PlacementRequest, now: float
