Cold replicas: care for hosts that have not heard of a warm-up

Cause: a replica may turn cold again up to 2.5 s before a host hears of it. When the load jumps eightfold in that time, each host sends it its part of the jump. A malformed warm-up in an entry was ignored without a log line.

A replica without a response at this host for a second gets one request at a time from it; while the load jumps, only from the first 4 hosts in rank. What the others cannot take is rejected then. A malformed warm-up is logged once.

--- a/features/cold.feature
+++ b/features/cold.feature
@@ -52,18 +52,33 @@
   # Guards against replicas that crash during their warm-up: all routers together
   # send above the rate that they tolerate. Each row under 8 times the load.
   Scenario Outline: A cold replica gets no more than its bound, from all routers together
-    Given 58 routers that know <known> of each other, and 10 replicas
+    Given 58 routers that know <known> of each other, and <count> replicas
     When <disturbance>
     Then no cold replica gets more than 17 requests in a second
 
     Examples:
-      | known             | disturbance                                                       |
-      | all               | all replicas restart during the burst, heard at once              |
-      | none              | all replicas restart during the burst, heard at once              |
-      | two thirds        | all replicas restart during the burst, heard at once              |
-      | all               | all replicas and routers restart during the burst, heard at once  |
-      | two thirds        | 5 replicas turn cold again on a calm day, heard within 2.5 s      |
-      | all               | 5 replicas turn cold again on a calm day, heard within 2.5 s      |
+      | known      | count | disturbance                                                              |
+      | all        | 10    | all replicas restart during the burst, heard at once                     |
+      | none       | 10    | all replicas restart during the burst, heard at once                     |
+      | two thirds | 10    | all replicas restart during the burst, heard at once                     |
+      | all        | 10    | all replicas and routers restart during the burst, heard at once         |
+      | two thirds | 10    | 5 replicas turn cold again on a calm day, heard within 2.5 s             |
+      | all        | 10    | 5 replicas turn cold again on a calm day, heard within 2.5 s             |
+
+  # Guards against a jump of the load that reaches replicas before the word that
+  # they are cold. The bound does not hold always: without further care, 2 in 3 of
+  # these replicas get more, and up to 45 requests.
+  Scenario: Few replicas get more than their bound when hosts have not heard that they are cold
+    Given 58 routers that know all of each other, and 70 replicas
+    When 6 replicas turn cold again just before the burst, heard within 2.5 s
+    Then at most 1 in 4 of them get more than 17 requests in a second, and none more than 30
+
+  # Guards against requests that are rejected, or sent away from their prefix,
+  # because replicas might be cold.
+  Scenario: On a calm day without cold replicas nothing is rejected
+    Given 58 routers that know all of each other, and 70 replicas
+    When a calm day passes
+    Then nothing is rejected
 
   # Guards against idle capacity: permits that nobody may use.
   Scenario: When all replicas are cold, what they tolerate is used
@@ -87,8 +102,15 @@
       | 2    | its entry says 1 s                                | 2       |
       | 0    | its process ends during a request                 | 3       |
       | 0    | its entry lapses and returns after an outage      | 0       |
+      | 0    | its zone returns after an evacuation              | 3       |
       | 2    | a late response of its earlier start says 9 s     | 2       |
 
+  # Guards against a log that grows with each heartbeat of such an entry.
+  Scenario: A malformed warm-up is logged once
+    Given a router that lists a replica with a rest of 0 s
+    When its entry states a malformed rest twice
+    Then there is one line for the log, and the replica is warm
+
   Scenario: A replica that has become warm gets its usual load in steps
     Given 58 routers that know all of each other, and 10 replicas
     When 2 replicas restart on a calm day, heard at once
--- a/features/cold_model.py
+++ b/features/cold_model.py
@@ -94,17 +94,18 @@
 
     def most_in_a_second(self):
         """Return the most that a cold replica got in any second."""
-        return max(
-            sum(first <= at < first + 1 for at in inside)
-            for name, since, until in self.warm_ups
-            if (
-                inside := [
-                    at for at in self.arrivals[name] if since <= at < until
-                ]
-            )
-            or [0]
-            for first in inside or [0]
-        )
+        return max(self.peaks())
+
+    def peaks(self):
+        """Return the most in any second, for each warm-up."""
+        found = []
+        for name, since, until in self.warm_ups:
+            times = [at for at in self.arrivals[name] if since <= at < until]
+            counts = [
+                sum(first <= at < first + 1 for at in times) for first in times
+            ]
+            found.append(max(counts, default=0))
+        return found
 
     def cold_per_s(self):
         """Return the mean rate at which cold replicas got requests."""
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -108,7 +108,7 @@
     context.count = count
 
 
-def play(context, names, late_s, *, is_restart, is_burst, restarts=()):
+def play(context, names, late_s, *, is_restart, is_burst, restarts=(), at=9):
     context.models = []
     for seed in (1, 2):
         load = placement_model.Load(
@@ -123,11 +123,11 @@
         model = cold_model.ColdModel(context.views, context.count, load, seed)
         cool = model.cool
         model.plan(
-            9, lambda now: cool(now, names, late_s, is_restart=is_restart)
+            at, lambda now: cool(now, names, late_s, is_restart=is_restart)
         )
         if restarts:
             model.plan(9, model.restart_routers, restarts)
-        model.run(_RUN_S)
+        model.run(at + 9 if names else 12)
         context.models.append(model)
     context.model = model
 
@@ -150,8 +150,35 @@
 )
 def cold_again(context, count, when, late_s):
     names = [f'e{number}' for number in range(count)]
-    is_burst = 'burst' in when
-    play(context, names, late_s, is_restart=False, is_burst=is_burst)
+    play(
+        context,
+        names,
+        late_s,
+        is_restart=False,
+        is_burst='burst' in when,
+        at=7.5 if 'before' in when else 9,
+    )
+
+
+@behave.then(
+    'at most 1 in {part:d} of them get more than {most:d} requests in a second, '
+    'and none more than {limit:d}'
+)
+def few_above(context, part, most, limit):
+    found = [one for model in context.models for one in model.peaks()]
+    above = [one for one in found if one > most]
+    assert part * len(above) <= len(found) and max(found) <= limit, found
+
+
+@behave.when('a calm day passes')
+def calm_day(context):
+    play(context, [], 0, is_restart=False, is_burst=False)
+
+
+@behave.then('nothing is rejected')
+def none_rejected(context):
+    found = [model.rejected for model in context.models]
+    assert not any(found), found
 
 
 @behave.then('no cold replica gets more than {most:d} requests in a second')
@@ -221,6 +248,26 @@
     listed.update(context.replica, context.now)
 
 
+@behave.when('its entry states a malformed rest twice')
+def malformed_rest(context):
+    entry = msgspec.structs.replace(context.replica, cold_s=None)
+    for _ in range(2):
+        context.router.replicas.update(entry, context.now)
+
+
+@behave.then('there is one line for the log, and the replica is warm')
+def one_line(context):
+    changes = context.router.cold.replicas.pop_changes()
+    assert [one.cold_s for one in changes] == [None], changes
+    assert not context.router.cold.is_cold(context.replica, context.now)
+
+
+@behave.when('its zone returns after an evacuation')
+def zone_returns(context):
+    context.router.evacuations.evacuate('', context.now - 5)
+    context.router.evacuations.end('', context.now)
+
+
 @behave.then('the replica is cold for {seconds:g} s more')
 def cold_more(context, seconds):
     known = context.router.replicas.find(context.replica.id)
--- a/papayaloom/process/cold_updates.py
+++ b/papayaloom/process/cold_updates.py
@@ -4,7 +4,7 @@
 
 from papayaloom.process import dispatch_actor, fleet_hosts
 from papayaloom.routing import dispatch
-from papayaloom.routing.limits import cold_permits
+from papayaloom.routing.limits import cold_permits, cold_replicas
 from papayaloom.version import routes
 
 _log = structlog.get_logger('dispatch')
@@ -41,12 +41,22 @@
     def step(dispatcher: dispatch.Dispatcher, now: float) -> None:
         dispatcher.cold.permits.update_fleet(fleet, now)
         for change in dispatcher.cold.replicas.pop_changes():
-            _log.info(
-                'dispatch: a replica is cold',
-                replica=change.replica,
-                born=change.born,
-                seconds=change.cold_s,
-                source=change.source.value,
-            )
+            _log_change(change)
 
     dispatch_client.tell(step)
+
+
+def _log_change(change: cold_replicas.Change) -> None:
+    if change.cold_s is None:
+        _log.info(
+            'dispatch: ignored a malformed warm-up in an entry',
+            replica=change.replica,
+        )
+        return
+    _log.info(
+        'dispatch: a replica is cold',
+        replica=change.replica,
+        born=change.born,
+        seconds=round(change.cold_s, 3),
+        source=change.source.value,
+    )
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -167,6 +167,7 @@
         if load.slowdown is not None and load.slowdown >= _NOTABLE_SLOWDOWN:
             self.decisions.add(decision_counts.Decision.SLOW_REPORTED)
         self._load_estimates.record_load(replica, load, now)
+        self.cold.record_response(replica, now)
 
     def own_request_counts(self, now: float) -> request_counts.RequestCounts:
         """Return the running and arrived requests of this router."""
--- a/papayaloom/routing/limits/cold_choice.py
+++ b/papayaloom/routing/limits/cold_choice.py
@@ -1,8 +1,9 @@
 """Choice between warm and cold replicas.
 
-Answers two load patterns: a few cold replicas among warm ones, which get nothing
-while the warm ones have room; and a service whose replicas are all cold, whose
-permits are then its only capacity.
+Answers three load patterns: a few cold replicas among warm ones, which get nothing
+while the warm ones have room; a service whose replicas are all cold, whose
+permits are then its only capacity; and a load that jumps while some replicas are
+cold and this router has not heard of it.
 """
 
 import random
@@ -18,7 +19,11 @@
     replica_choice,
     replicas,
 )
-from papayaloom.routing.limits import cold_permits, cold_replicas
+from papayaloom.routing.limits import (
+    cold_permits,
+    cold_replicas,
+    unheard_replicas,
+)
 from papayaloom.routing.overload import load_shedding, retry_delays
 
 _NO_ROOM = 503
@@ -52,6 +57,7 @@
         self.permits = cold_permits.ColdPermits(
             bound or cold_permits.Cfg(factor=0, slack=0)
         )
+        self._unheard = unheard_replicas.UnheardReplicas(self.permits.rank)
 
     def is_cold(self, replica: replicas.Replica, now: float) -> bool:
         """Whether a replica may only get what permits allow."""
@@ -70,7 +76,7 @@
         ):
             return choose(candidates, False)
         split = self.replicas.split(candidates, request.prefix, now)
-        chosen = choose(split.warm, False) if split.warm else None
+        chosen = self._choose_warm(request, split.warm, choose, now)
         held = [*split.ramping, *split.cold]
         if chosen is not None and not (held and _has_no_room(chosen)):
             return chosen
@@ -88,6 +94,11 @@
         self._decisions.add(decision_counts.Decision.REFUSED_COLD)
         return chosen or beyond or result.Err(self._problem(request))
 
+    def record_response(self, replica: str, now: float) -> None:
+        """Record a response of a replica."""
+        if self._is_enabled:
+            self._unheard.record_response(replica, now)
+
     def dump(self, now: float) -> dict[str, object]:
         """Return the state for the operator's dump."""
         return {
@@ -95,6 +106,33 @@
             'has_permits': self.permits.has_permits(now),
         }
 
+    def _choose_warm(
+        self,
+        request: dispatch_messages.PlacementRequest,
+        warm: list[replicas.Replica],
+        choose: _Choose,
+        now: float,
+    ) -> _Result | None:
+        """Choose among the warm replicas; None if there are none."""
+        if not warm:
+            return None
+        is_jump = self._unheard.record_arrival(request.service, now)
+        usable = self._unheard.usable(warm, now, is_jump=is_jump)
+        if not usable and request.may_have_run:
+            usable = warm
+        if not usable:
+            return result.Err(
+                placement_problems.unavailable(
+                    request.service, self._retry_s(request)
+                )
+            )
+        chosen = choose(usable, False)
+        if not is_jump and len(usable) < len(warm) and _has_no_room(chosen):
+            chosen = choose(warm, False)
+        if isinstance(chosen, result.Ok):
+            self._unheard.record_request(chosen.ok_value.replica.id, now)
+        return chosen
+
     def _allows(
         self, replica: replicas.Replica, now: float, *, has_warm: bool
     ) -> bool:
@@ -117,11 +155,17 @@
     ) -> errors.Problem:
         return placement_problems.cold(
             request.service,
-            # Permits come at a steady rate, so callers return spread over the
-            # time that they accept.
-            retry_delays.overload_s(
-                self._rng.random(), request.left_s, self._rng
-            ),
+            self._retry_s(request),
+        )
+
+    def _retry_s(self, request: dispatch_messages.PlacementRequest) -> float:
+        """Return the retry delay of a rejected request.
+
+        Permits come at a steady rate, so callers return spread over the time
+        that they accept.
+        """
+        return retry_delays.overload_s(
+            self._rng.random(), request.left_s, self._rng
         )
 
 
--- a/papayaloom/routing/limits/cold_permits.py
+++ b/papayaloom/routing/limits/cold_permits.py
@@ -144,7 +144,7 @@
         owners = pace(per_s, most, len(self._seen_at)).owners
         if not is_settled:
             owners = max(owners // 2, 1)
-        return self._rank(replica.id) < owners
+        return self.rank(replica.id) < owners
 
     def spend(
         self, replica: replicas.Replica, per_s: float, now: float
@@ -161,7 +161,7 @@
         """Whether this router is in touch with the fleet for long enough."""
         return self._settled_at <= now < self._known_until
 
-    def _rank(self, replica: replicas.ReplicaId) -> int:
+    def rank(self, replica: replicas.ReplicaId) -> int:
         """Return the rank of this router for a replica, from 0."""
         rank = self._ranks.get(replica)
         if rank is None:
--- a/papayaloom/routing/limits/cold_replicas.py
+++ b/papayaloom/routing/limits/cold_replicas.py
@@ -44,12 +44,13 @@
 class Change(msgspec.Struct, frozen=True):
     """A replica that was found to be cold, for the log.
 
-    :param cold_s: rest of its warm-up.
+    :param cold_s: rest of its warm-up; None if its entry states a malformed one,
+        which is ignored.
     """
 
     replica: replicas.ReplicaId
     born: int
-    cold_s: float
+    cold_s: float | None
     source: Source
 
 
@@ -130,6 +131,12 @@
         :param is_new_start: this start was not known, and is not among those
             that the router found when it started itself.
         """
+        if replica.cold_s is None and (
+            before is None or before.cold_s is not None
+        ):
+            self._changes.append(
+                Change(replica.id, replica.born, None, Source.ENTRY)
+            )
         cold_s = replica.cold_s or 0
         if is_new_start:
             known = self._services.get(replica.service)
@@ -188,9 +195,13 @@
         now: float,
     ) -> Split:
         """Divide the candidates for a request by what they may get."""
-        split = Split([], [], [])
         zones = {one.zone for one in candidates}
         since_return_s = {zone: self._returned_s(zone, now) for zone in zones}
+        if self._warm_ups:
+            self._drop_ended(now)
+        if not self._warm_ups and min(since_return_s.values()) == math.inf:
+            return Split(list(candidates), [], [])
+        split = Split([], [], [])
         for one in candidates:
             warm_s = self._warm_s(one, since_return_s[one.zone], now)
             if warm_s < 0:
