--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -3,6 +3,7 @@
 import random
 
 import behave
+import msgspec
 import structlog
 
 from features.steps import feed_steps
@@ -168,6 +169,10 @@
     feed_steps.knows_from_snapshot(context)
     context.view.restore(content)
     holds(context, zones)
+    # The listing may be older than the snapshot.
+    for source in context.view.sources():
+        source.replace([])
+    holds(context, zones)
     context.view, context.desk = kept
 
 
@@ -194,3 +199,21 @@
 @behave.then('the host holds "" evacuated')
 def holds_none(context):
     assert not evacuated(context), evacuated(context)
+
+
+@behave.when('the store is calm for {seconds:d} s')
+def calm(context, seconds):
+    def step(made, now):
+        made.replicas.lapses.store_failed()
+        made.replicas.lapses.store_answered(now - seconds)
+
+    context.desk.ask(step)
+    if context.view.evacuations.needs_listing(random.Random(1)):
+        context.feed.list_again()
+    context.feed.step()
+
+
+@behave.when('the snapshot of another host has "{zone}" evacuated')
+def in_snapshot(context, zone):
+    content = msgspec.msgpack.encode({f'op/evacuate/{zone}': b'{}'})
+    context.view.evacuations.restore(content)
--- a/papayaloom/commands/operator.py
+++ b/papayaloom/commands/operator.py
@@ -17,7 +17,7 @@
 import fire
 
 from papayaloom import errors
-from papayaloom.commands import fleet, rendering, settings
+from papayaloom.commands import fleet, rendering, settings, where
 
 EXIT_REFUSED = 1
 EXIT_NO_ANSWER = 3
@@ -40,6 +40,7 @@
             'explain': fleet.explain,
             'fleet': fleet.fleet,
             'dump': fleet.dump,
+            'where': where.where,
         }
     )
 )
--- a/papayaloom/platform/settings.py
+++ b/papayaloom/platform/settings.py
@@ -1,7 +1,9 @@
 """Reads the platform's settings file: lines of the form ``a.b=value``."""
 
+import contextlib
 import math
 import os
+import typing
 
 import msgspec
 
@@ -10,9 +12,12 @@
 from papayaloom.process import fleet_hosts, gateway_cfg, gateway_stop
 from papayaloom.routing import dispatch, replica_choice
 from papayaloom.routing.limits import cold_permits
-from papayaloom.routing.overload import budgets
+from papayaloom.routing.overload import budgets, hedging
 
 PATH_VARIABLE = 'PAPAYALOOM_SETTINGS'
+# Overrides the field of the settings file.
+HEDGING_VARIABLE = 'PAPAYALOOM_HEDGING_EXTRA_PERCENT'
+_HEDGING_FIELD = 'hedging.extraPercent'
 METRICS_PORT = 9464
 # The process exits this long before the platform kills it.
 _KILL_MARGIN_S = 0.45
@@ -43,7 +48,7 @@
             fields = parse(lines.read())
     except OSError as exc:
         raise errors.SettingsError(f'settings file {path}: {exc}') from exc
-    return from_fields(fields)
+    return from_fields(overridden(fields, os.environ))
 
 
 def path_from_environment() -> str:
@@ -99,6 +104,7 @@
             seeds=_seeds(fields),
             ttl_s=min(ttl_s, _MAX_TTL_S),
             lease_s=max(min_lease_s, _MIN_LEASE_S),
+            evacuation_s=_evacuation_s(fields),
             stop=gateway_stop.Cfg(longest_s=grace_s - _KILL_MARGIN_S),
             placing=dispatch.Cfg(
                 spreading=replica_choice.Cfg(
@@ -106,6 +112,7 @@
                 ),
                 repeats=_retry_bound(fields),
                 warming=_cold_bound(fields),
+                hedges=hedging.Cfg(extra_percent=_hedging_percent(fields)),
             ),
         ),
     )
@@ -167,6 +174,31 @@
     return bound
 
 
+def _evacuation_s(fields: dict[str, str]) -> float | None:
+    limit_ms = _number(fields, 'bounds.evacMs', 0)
+    return limit_ms / 1000 if limit_ms > 0 else None
+
+
+def overridden(
+    fields: dict[str, str], environ: typing.Mapping[str, str]
+) -> dict[str, str]:
+    """Return the fields with the values of environment variables."""
+    text = environ.get(HEDGING_VARIABLE, '')
+    return {**fields, _HEDGING_FIELD: text} if text else fields
+
+
+def _hedging_percent(fields: dict[str, str]) -> float:
+    text = fields.get(_HEDGING_FIELD, '') or '0'
+    limit = hedging.MAX_EXTRA_PERCENT
+    with contextlib.suppress(ValueError):
+        if 0 <= float(text) <= limit:
+            return float(text)
+    raise errors.SettingsError(
+        f'settings field {_HEDGING_FIELD} (or {HEDGING_VARIABLE}): {text!r} '
+        f'is not a number from 0 to {limit}'
+    )
+
+
 def _seeds(fields: dict[str, str]) -> tuple[tuple[str, int], ...]:
     own_address = fields.get('listen.control', '')
     texts = [address.strip() for address in fields.get('seeds', '').split(',')]
--- a/papayaloom/process/forward_attempt.py
+++ b/papayaloom/process/forward_attempt.py
@@ -4,6 +4,7 @@
 """
 
 import time
+import typing
 
 import h11
 import result
@@ -21,6 +22,8 @@
 _SERVER_ERROR = 500
 # Callers may rely on these statuses to mean that the request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Statuses with which a full replica refuses a request.
+_FULL_STATUSES = frozenset((429, 503))
 _NOT_RUN = errors.Verdict.NOT_RUN
 _MAY_HAVE_RUN = errors.Verdict.MAY_HAVE_RUN
 
@@ -49,7 +52,9 @@
         self._limits = limits
         self._buffer = buffer
         # Monotonic time at which the current wait times out.
-        self._wait_deadline = time.monotonic()
+        self.wait_deadline = time.monotonic()
+        # Called before the first byte of the response goes to the caller.
+        self.on_first_byte: typing.Callable[[], object] = _do_nothing
         self._initial_progress = job.joiner.progress
 
     @property
@@ -67,24 +72,61 @@
         :raises upstream_connection.CallerDisconnectedError: the caller
             disconnected.
         """
+        return self.receive(self.send())
+
+    def send(self) -> upstream_connection.RequestHead:
+        """Send the request, and return its head.
+
+        :raises papayaloom.errors.UpstreamError: the connection broke.
+        """
         head = self._request_head()
+        self.await_response(self._job.progress)
         self._conn.send(head, self._job.inbound.body)
         self._conn.set_byte_limit(self._limits.answer)
+        return head
+
+    def await_response(self, progress: forwarding.Progress) -> None:
+        """Begin the wait for the response."""
         self._set_wait(
             forwarding.response_timeout_s(
-                self._job.route, self._job.progress, self._job.remaining_s()
+                self._job.route, progress, self._job.remaining_s()
             )
         )
+
+    def receive(self, head: upstream_connection.RequestHead) -> Outcome:
+        """Receive the response and forward it.
+
+        Raises like :meth:`run`.
+
+        :param head: head of the request that was sent.
+        """
         response, metadata = self._receive_matching_response(head)
         if metadata.is_not_run:
             self._skip_body()
-            return _failed(_NOT_RUN, f'refused with {response.status_code}')
+            return result.Err(_refusal(response.status_code))
         if not metadata.receipt or metadata.is_encoded:
             raise errors.UpstreamError('no receipt', _MAY_HAVE_RUN)
         if forward_job.is_event_stream(self._job, response):
             return self._forward_stream(response)
         return self._forward_buffered(response)
 
+    def is_foreign(self, response: h11.Response) -> bool:
+        """Tell whether a response belongs to another request."""
+        metadata = self._dialect.read_answer(
+            response.status_code, list(response.headers.raw_items())
+        )
+        named = metadata.request_id
+        return named not in {'', self._job.request_info.request_id}
+
+    def skip_foreign(self, head: upstream_connection.RequestHead) -> None:
+        """Discard a response to another request, which has been read ahead.
+
+        :param head: head of the request that was sent.
+        """
+        self._conn.receive_head(self.wait_deadline)
+        self._skip_body()
+        self._conn.skip_answer(head)
+
     def _request_head(self) -> upstream_connection.RequestHead:
         job = self._job
         last_event_id = job.joiner.last
@@ -112,7 +154,7 @@
         """
         for _ in range(self._limits.foreign_responses + 1):
             response = self._conn.receive_head(
-                self._wait_deadline, self._job.inbound.caller_fd
+                self.wait_deadline, self._job.inbound.caller_fd
             )
             metadata = self._dialect.read_answer(
                 response.status_code, list(response.headers.raw_items())
@@ -169,6 +211,7 @@
         if job.progress.has_begun:
             reason = f'the stream went on with {buffered.status}'
             return _failed(_MAY_HAVE_RUN, reason)
+        self.on_first_byte()
         forward_job.deliver(job, buffered)
         return result.Ok(buffered.status)
 
@@ -245,6 +288,7 @@
         )
 
     def _begin_response(self, response: h11.Response) -> None:
+        self.on_first_byte()
         self._job.progress.has_begun = True
         headers = self._caller_headers(response)
         try:
@@ -258,11 +302,11 @@
         return self._dialect.caller_headers(list(response.headers.raw_items()))
 
     def _set_wait(self, seconds: float) -> None:
-        self._wait_deadline = time.monotonic() + seconds
+        self.wait_deadline = time.monotonic() + seconds
 
     def _receive_part(self) -> bytes | None:
         return self._conn.receive_part(
-            self._wait_deadline, self._job.inbound.caller_fd
+            self.wait_deadline, self._job.inbound.caller_fd
         )
 
     def _read_body(self) -> bytearray:
@@ -280,6 +324,16 @@
             part = self._receive_part()
 
 
+def _do_nothing() -> None:
+    """Do nothing: no other copy of the request runs."""
+
+
+def _refusal(status: int) -> forward_job.Failure:
+    return forward_job.Failure(
+        _NOT_RUN, f'refused with {status}', is_refused=status in _FULL_STATUSES
+    )
+
+
 def _failed(
     verdict: errors.Verdict, reason: str, *, replica_failed: bool | None = None
 ) -> Outcome:
--- a/papayaloom/process/gateway.py
+++ b/papayaloom/process/gateway.py
@@ -1,6 +1,7 @@
 """A forwarding router process: components, threads and graceful stop."""
 
 import contextlib
+import functools
 import random
 import threading
 import time
@@ -36,7 +37,7 @@
     timers,
 )
 from papayaloom.routing import dispatch
-from papayaloom.routing.overload import retry_delays
+from papayaloom.routing.overload import hedging, retry_delays
 from papayaloom.version import routes
 
 _log = structlog.get_logger('gateway')
@@ -55,6 +56,11 @@
 _IDLE_MARGIN_S = 10
 # Assumed number of hosts in the fleet until they have been listed.
 _INITIAL_HOSTS = 6
+# Share of the time for an evacuation after which a view is too old to place by;
+# in the rest, a change may have been on its way through relay hosts (1.2 s).
+_MAX_VIEW_AGE_SHARE = 0.7
+# A view gets this old between two calls of a host that watches the store itself.
+_MIN_VIEW_AGE_S = 2.5
 # Statuses for logs and metrics only; they are never sent to a caller.
 _STATUS_CALLER_GONE = 499
 _STATUS_ABORTED = 599
@@ -89,7 +95,10 @@
         self.dispatch_client = dispatch_actor.DispatchClient(actor)
         self._forwarder = forwarder.Forwarder(
             forwarder.Dependencies(
-                self.dispatch_client, platform.dialect, self._pool
+                self.dispatch_client,
+                platform.dialect,
+                self._pool,
+                hedge_delays=hedging.delays(cfg.placing.hedges),
             )
         )
         self._view = store_view.StoreView(
@@ -106,6 +115,7 @@
             self.dispatch_client,
             self._view.describe,
             self._rng,
+            asks_peers=cfg.evacuation_s is not None,
         )
         self._feed = feed.Feed(
             store,
@@ -115,7 +125,9 @@
                 self._view.store_answered,
                 self._view.store_failed,
                 snapshot_client.SnapshotClient(
-                    cfg.seeds, self._view
+                    cfg.seeds,
+                    self._view,
+                    refreshes=cfg.evacuation_s is not None,
                 ).start_fetch,
                 self._store_restored,
             ),
@@ -143,6 +155,11 @@
             self._rng,
         )
         self.dispatch_client.on_poison_report = self._reporter.wake
+        if cfg.evacuation_s is not None:
+            self.dispatch_client.wait_current = functools.partial(
+                self._feed.wait_current,
+                max(cfg.evacuation_s * _MAX_VIEW_AGE_SHARE, _MIN_VIEW_AGE_S),
+            )
         self._timers = timers.Timers(self._clock)
         self._front = self._listen(
             cfg.addresses.callers, self._handle, _CALLER_THREADS
@@ -341,6 +358,8 @@
     def _sweep(self) -> None:
         self._pool.close_expired()
         self._view.tick()
+        if self._view.evacuations.needs_listing(self._rng):
+            self._feed.list_again()
         for one in self._servers.values():
             one.trim()
 
--- a/papayaloom/routing/health/evacuations.py
+++ b/papayaloom/routing/health/evacuations.py
@@ -16,6 +16,8 @@
 
 # Time in which the replicas of a returned zone get back all their prefixes.
 _RAMP_S = 5.0
+# Time from the return in which replicas are no source of prompt caches.
+_UNCACHED_S = 8.0
 # Longer than any replica stays cold after the return.
 _REMEMBERED_S = 600.0
 _HASHES = 2**64
@@ -35,7 +37,8 @@
         """Initialise with all zones in service."""
         self._evacuated_at: dict[str, float] = {}
         self._returned_at: dict[str, float] = {}
-        # Evacuated zones that a listing lacked which may have been older.
+        # Evacuated zones that a possibly older listing lacked, or that only a
+        # snapshot had.
         self._unconfirmed: set[str] = set()
 
     @property
@@ -77,16 +80,26 @@
         return True
 
     def replace(
-        self, zones: typing.Iterable[str], now: float, *, is_older: bool
+        self,
+        zones: typing.Iterable[str],
+        now: float,
+        *,
+        is_older: bool,
+        is_snapshot: bool = False,
     ) -> Changes:
         """Apply a complete listing of the evacuated zones.
 
         :param is_older: the listing may be older than what is known, so it ends
             no evacuation.
+        :param is_snapshot: the listing comes from another router, so what it
+            evacuates may have ended.
         """
         listed = set(zones)
+        unconfirmed = frozenset(self._unconfirmed)
         absent = sorted(self._evacuated_at.keys() - listed)
         evacuated = [one for one in sorted(listed) if self.evacuate(one, now)]
+        if is_snapshot:
+            self._unconfirmed.update(unconfirmed, evacuated)
         if is_older:
             self._unconfirmed.update(absent)
             return Changes(tuple(evacuated))
@@ -110,6 +123,14 @@
             return listed
         return [one for one in listed if one.zone not in self._evacuated_at]
 
+    def idle(
+        self, listed: typing.Iterable[replicas.Replica]
+    ) -> list[replicas.ReplicaId]:
+        """Return the replicas to which no connection is kept."""
+        if not self._evacuated_at:
+            return []
+        return [one.id for one in listed if one.zone in self._evacuated_at]
+
     def ramped(
         self,
         candidates: list[replicas.Replica],
@@ -135,18 +156,17 @@
             one for one in candidates if one.zone not in excluded
         ] or candidates
 
-    def recently_returned(
-        self,
-        listed: typing.Iterable[replicas.Replica],
-        age_s: float,
-        now: float,
+    def uncached(
+        self, listed: typing.Iterable[replicas.Replica], now: float
     ) -> frozenset[str]:
-        """Return the replicas whose zone returned less than a time ago."""
+        """Return the replicas that have little cached since the return."""
         zones = {
-            one
-            for one in self._returned_at
-            if self.returned_s(one, now) < age_s
+            zone
+            for zone in self._returned_at
+            if self.returned_s(zone, now) < _UNCACHED_S
         }
+        if not zones:
+            return frozenset()
         return frozenset(one.id for one in listed if one.zone in zones)
 
     def dump(self, now: float) -> dict[str, object]:
--- a/papayaloom/routing/limits/cold_choice.py
+++ b/papayaloom/routing/limits/cold_choice.py
@@ -76,6 +76,8 @@
         ):
             return choose(candidates, False)
         split = self.replicas.split(candidates, request.prefix, now)
+        if request.hedge_of:
+            return _choose_hedge(split.warm, choose)
         chosen = self._choose_warm(request, split.warm, choose, now)
         held = [*split.ramping, *split.cold]
         if chosen is not None and not (held and _has_no_room(chosen)):
@@ -170,8 +172,8 @@
 
 
 def admit(
-    demand: load_shedding.Demand, load: load_shedding.Load, now: float
-) -> list[replicas.Replica] | errors.Problem:
+    demand: load_shedding.Demand, load: load_shedding.Load
+) -> load_shedding.Admission | errors.Problem:
     """Return the cold replicas that have a free slot for a request.
 
     Other than :meth:`load_shedding.LoadShedder.admit`, this does not reckon with
@@ -182,7 +184,16 @@
         for one in load.candidates
         if not one.slots or load.estimates[one.id].total < one.slots
     ]
-    return free or placement_problems.unavailable(demand.service)
+    if free:
+        return load_shedding.Admission(free)
+    return placement_problems.unavailable(demand.service)
+
+
+def _choose_hedge(warm: list[replicas.Replica], choose: _Choose) -> _Result:
+    """Choose a replica for a hedge, which takes no permit from others."""
+    if warm:
+        return choose(warm, False)
+    return result.Err(placement_problems.not_hedged())
 
 
 def _has_no_room(chosen: _Result) -> bool:
--- a/papayaloom/routing/placement_problems.py
+++ b/papayaloom/routing/placement_problems.py
@@ -49,6 +49,15 @@
     )
 
 
+def prefix_full(service: ids.ServiceId) -> errors.Problem:
+    """Return the problem for a request whose preferred replicas are full."""
+    return errors.Problem(
+        'the replicas that have its prefix are full',
+        503,
+        detail=f'service {service}',
+    )
+
+
 def condemned(fingerprint: ids.Fingerprint, retry_s: float) -> errors.Problem:
     """Return the problem for a request that crashes replicas.
 
@@ -67,6 +76,11 @@
     return errors.Problem('the request fails at every replica', 503)
 
 
+def not_hedged() -> errors.Problem:
+    """Return the problem for a hedge that is not sent; no caller gets it."""
+    return errors.Problem('the request is not hedged', 503)
+
+
 def budget_spent() -> errors.Problem:
     """Return the problem for a retry that the retry budget does not allow."""
     return errors.Problem(
