Overload: the slots are the target, urgent requests queue less

Change: the target is the number of slots; urgent requests may overtake a quarter of the slots' number instead of half.

--- a/papayaloom/routing/overload/load_shedding.py
+++ b/papayaloom/routing/overload/load_shedding.py
@@ -43,7 +43,7 @@
 
 # Requests that a more urgent one overtakes in the queue of a replica, as a
 # multiple of its slots. Replicas order what waits by priority.
-_OVERTAKEN = 0.5
+_OVERTAKEN = 0.25
 _REJECTED = frozenset(
     (rank_admission.Standing.BEHIND, rank_admission.Standing.EXCLUDED)
 )
--- a/papayaloom/routing/overload/occupancy.py
+++ b/papayaloom/routing/overload/occupancy.py
@@ -15,9 +15,6 @@
 
 # Standard deviations by which estimated arrivals may be too many.
 _DEVIATIONS = 2
-# Share of the requests that can wait in time which an overloaded service should
-# have: with fewer, slots are idle at times.
-_TARGET_SHARE = 0.9
 
 
 class Occupancy(msgspec.Struct, frozen=True):
@@ -41,11 +38,6 @@
         """Free places of all replicas."""
         return sum(max(count, 0) for count in self.free.values())
 
-    @property
-    def target(self) -> float:
-        """Requests that the replicas should have under overload."""
-        return _TARGET_SHARE * self.slots
-
     def describe(self) -> str:
         """Return what a decision is based on, for logs."""
         return (
--- a/papayaloom/routing/overload/rank_admission.py
+++ b/papayaloom/routing/overload/rank_admission.py
@@ -235,7 +235,7 @@
         + (1 - slow_share) * quick_per_s
     )
     horizon_s = max(service_time_s, _MIN_HORIZON_S)
-    correction = (use.target - use.expected) / horizon_s
+    correction = (use.slots - use.expected) / horizon_s
     # At the start of a burst, completions are still those of the calm before.
     least_per_s = _MIN_SHARE * max(capacity_per_s, quick_per_s)
     return max(capacity_per_s + correction, least_per_s)
