Overload: a queue of less urgent requests does not turn urgent ones away

Cause: in the second after the onset of a burst most replicas have a queue, so urgent requests all went to the few without one and waited there: in the model, three times the room, 23 hosts, 52 of 85 requests of the most urgent rank that arrived in that second were late, with a mean wait of 1.3 s.

Change: for a request that is admitted ahead of others, what waits at a replica beyond its slots does not count against the replica.

--- a/papayaloom/routing/replica_choice.py
+++ b/papayaloom/routing/replica_choice.py
@@ -269,8 +269,7 @@
         known = estimate.own + estimate.others * remaining_fraction
         room = min(
             bound - 1 - known - _headroom(arriving, bound, traffic),
-            _free_places(one, estimate, crowding)
-            - known
+            _free_places(one, estimate, crowding, known)
             - _LOCAL_DEVIATIONS * math.sqrt(arriving),
         )
         if room >= arriving or rng.random() * arriving < room:
@@ -284,11 +283,20 @@
     replica: replicas.Replica,
     estimate: load_estimates.LoadEstimate,
     crowding: Crowding,
+    known: float,
 ) -> float:
-    """Return the places of a replica beside that of the request."""
+    """Return the free places of a replica beside that of the request.
+
+    :param known: requests that the replica still has.
+    """
     if math.isinf(crowding.places) or not replica.slots:
         return math.inf
-    return crowding.places * replica.slots / estimate.slowdown - 1
+    slots = replica.slots / estimate.slowdown
+    if crowding.spread is Spread.BY_RANK:
+        # Replicas order what waits by priority, so it does not delay the
+        # request. Otherwise all would go to the few replicas without a queue.
+        known = min(known, slots)
+    return crowding.places * slots - 1 - known
 
 
 def _replica_service_time_s(
