Ejection: a success counts from when its response was received

Cause: under load a success is reported well after its response was received. A replica that began to send without end in between could count as proven, and a retry went there.

Change: AttemptResult.received_at; the time of the last success is that.

--- a/papayaloom/process/forward_attempt.py
+++ b/papayaloom/process/forward_attempt.py
@@ -276,9 +276,11 @@
         self._wait_deadline = time.monotonic() + seconds
 
     def _receive_part(self) -> bytes | None:
-        return self._conn.receive_part(
+        part = self._conn.receive_part(
             self._wait_deadline, self._job.inbound.caller_fd
         )
+        self._job.received_at = time.monotonic()
+        return part
 
     def _read_body(self) -> bytearray:
         body = bytearray()
--- a/papayaloom/process/forward_job.py
+++ b/papayaloom/process/forward_job.py
@@ -36,6 +36,7 @@
     :param buffers: bytes held for the responses of the attempts.
     :param proven_since: start of the last attempt if it shows that a replica
         sends without end; the next replica must have succeeded since then.
+    :param received_at: when the last part of a response was received.
     :param joiner: joins the event streams of the attempts; unused for plain
         calls.
     """
@@ -57,6 +58,7 @@
     error_response: BufferedResponse | None = None
     buffers: list[buffer_budget.Buffer] = msgspec.field(default_factory=list)
     proven_since: float | None = None
+    received_at: float | None = None
 
     def remaining_s(self) -> float:
         """Return the time until the deadline."""
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -267,6 +267,7 @@
                 duration_s=duration_s,
                 is_error_response=bool(failure and failure.is_error_response),
                 is_unbounded=bool(failure and failure.is_unbounded),
+                received_at=job.received_at,
                 parts=forward_job.shared_parts(job),
             )
         )
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -306,7 +306,7 @@
         ejections = self._availability.ejections(attempt_result.service)
         chosen = attempt_result.replica
         if not attempt_result.is_failure:
-            ejections.record_success(chosen, now)
+            ejections.record_success(chosen, now, attempt_result.received_at)
             self._budgets.record_success(attempt_result.service, now)
             failed = self._failed_on_their_own(attempt_result, now)
         elif attempt_result.is_error_response and chosen not in (
--- a/papayaloom/routing/dispatch_messages.py
+++ b/papayaloom/routing/dispatch_messages.py
@@ -51,6 +51,8 @@
         may be the fault of the request.
     :param parts: names of the prompt parts that other requests may share.
     :param is_unbounded: the replica sent more than it may.
+    :param received_at: when the last part of the response was received, which
+        may be long before this report on a busy host.
     """
 
     service: ids.ServiceId
@@ -65,6 +67,7 @@
     is_error_response: bool = False
     parts: tuple[ids.Fingerprint, ...] = ()
     is_unbounded: bool = False
+    received_at: float | None = None
 
 
 def subject(
--- a/papayaloom/routing/health/ejection.py
+++ b/papayaloom/routing/health/ejection.py
@@ -95,12 +95,17 @@
         """Record that the trial request has been sent."""
         self._results[upstream].trial_sent = now
 
-    def record_success(self, upstream: str, now: float) -> None:
-        """Record a success; a successful trial ends the ejection."""
+    def record_success(
+        self, upstream: str, now: float, received_at: float | None = None
+    ) -> None:
+        """Record a success; a successful trial ends the ejection.
+
+        :param received_at: when the response was complete, if before now.
+        """
         entry = self._results.get(upstream)
         if entry is None:
             return
-        entry.succeeded_at = now
+        entry.succeeded_at = now if received_at is None else received_at
         if entry.ejected_until is not None:
             # A request sent before the ejection says nothing about recovery.
             if entry.trial_sent is None:
