Streams: an event with two ids is faulty

Cause: where the blank line between two events is lost, they arrive as one event, which was passed on under the first id; the caller gets no second event, or none at all where the first one had been delivered already. Two new examples in upstream_trouble.feature failed before.

Change: an event with more than one "id:" line is a spoiled event: those before it are delivered, and the stream is resumed or ends as broken off.

--- a/features/hostile_replica.py
+++ b/features/hostile_replica.py
@@ -210,6 +210,9 @@
 SPOILED = {
     'bytes that are no event': b'\xff' * 12 + b'\n\n',
     'an event without an id': b'data: event\n\n',
+    # In place of event 4: what follows is taken for a part of it.
+    'an event without its blank line': b'id: 4\ndata: event 4\n',
+    'two events in one': b'id: 3\ndata: event 3\nid: 4\ndata: event 4\n\n',
     'nothing': b'',
     'an event too long': b'x' * 300_000,
 }
--- a/features/upstream_trouble.feature
+++ b/features/upstream_trouble.feature
@@ -149,11 +149,12 @@
     And the second replica was asked to go on after event 3
 
     Examples:
-      | what                    |
-      | bytes that are no event |
-      | an event without an id  |
-      | nothing                 |
-      | an event too long       |
+      | what                            |
+      | bytes that are no event         |
+      | an event without an id          |
+      | an event without its blank line |
+      | nothing                         |
+      | an event too long               |
 
   # Guards against ORDER: bytes in place of the last event were passed on, and the stream looked complete without it.
   Scenario Outline: A stream whose last event is spoiled looks complete
@@ -165,6 +166,7 @@
       | what                    |
       | bytes that are no event |
       | an event without an id  |
+      | two events in one       |
       | an event too long       |
 
   # Guards against a stream that is always cut: ids need not count the events.
--- a/papayaloom/request/event_joiner.py
+++ b/papayaloom/request/event_joiner.py
@@ -91,14 +91,17 @@
                 break
             content = self._buffer[start : terminator.end()]
             start = terminator.end()
-            problem = self._accept(
-                Event(content, _event_id(content)), new_events
-            )
+            problem = self._accept(content, new_events)
         self._buffer = self._buffer[start:]
         return Joined(b''.join(new_events), problem, is_too_long)
 
-    def _accept(self, event: Event, new_events: list[bytes]) -> str:
+    def _accept(self, content: bytes, new_events: list[bytes]) -> str:
         """Add an event if it is new; return why it is faulty, or nothing."""
+        ids = _event_ids(content)
+        if len(ids) > 1:
+            # The blank line between two events was lost.
+            return f'an event with {len(ids)} ids follows event {self.last}'
+        event = Event(content, ids[0] if ids else None)
         if event.number is None:
             if not _is_comment(event.content):
                 return f'an event without an id follows event {self.last}'
@@ -135,8 +138,10 @@
     )
 
 
-def _event_id(content: bytes) -> int | None:
-    for line in content.splitlines():
-        if line.startswith(b'id:'):
-            return decoding.parse_whole(line[3:].strip())
-    return None
+def _event_ids(content: bytes) -> list[int | None]:
+    """Return the id of each ``id`` line; None if it is not numeric."""
+    return [
+        decoding.parse_whole(line[3:].strip())
+        for line in content.splitlines()
+        if line.startswith(b'id:')
+    ]
