--- a/papayaloom/routing/dispatch_messages.py
+++ b/papayaloom/routing/dispatch_messages.py
@@ -64,6 +64,8 @@
     :param is_cancelled: the other copy of the request was answered first.
     :param is_refused: the replica was full and did not run it.
     :param is_unbounded: the replica sent more than it may.
+    :param received_at: when the last part of the response was received, which
+        may be long before this report on a busy host.
     """
 
     service: ids.ServiceId
@@ -81,6 +83,7 @@
     is_cancelled: bool = False
     is_refused: bool = False
     is_unbounded: bool = False
+    received_at: float | None = None
 
 
 def subject(
