Overload, cold replicas: bounds of tests from the stated targets

Cause: five bounds in overload.feature and cold.feature were set a little above what was measured, not from what is asked for.

Change: replicas turn away at most 5 in 100, callers that repeat are at most 2 in 100 ahead, an organisation gets a quarter of the mean share, 95 in 100 of the most urgent rank begin, and no cold replica gets more than 17 requests in a second.

--- a/features/cold.feature
+++ b/features/cold.feature
@@ -66,12 +66,11 @@
       | all        | 10    | 5 replicas turn cold again on a calm day, heard within 2.5 s             |
 
   # Guards against a jump of the load that reaches replicas before the word that
-  # they are cold. The bound does not hold always: without further care, 2 in 3 of
-  # these replicas get more, and up to 45 requests.
-  Scenario: Few replicas get more than their bound when hosts have not heard that they are cold
+  # they are cold. Known red: the bound does not always hold (KNOWN-RED.txt).
+  Scenario: No replica gets more than its bound when hosts have not heard that it is cold
     Given 58 routers that know all of each other, and 70 replicas
     When 6 replicas turn cold again just before the burst, heard within 2.5 s
-    Then at most 1 in 4 of them get more than 17 requests in a second, and none more than 30
+    Then none of them gets more than 17 requests in a second
 
   # Guards against requests that are rejected, or sent away from their prefix,
   # because replicas might be cold.
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -97,20 +97,20 @@
     Examples:
       | hosts | x | word                             | least |
       | 23    | 2 | with sums every 0.4 s, 0.6 s old | 95    |
-      | 23    | 3 | with sums every 0.4 s, 0.6 s old | 80    |
+      | 23    | 3 | with sums every 0.4 s, 0.6 s old | 95    |
       | 8     | 2 | without sums                     | 95    |
-      | 8     | 3 | without sums                     | 90    |
+      | 8     | 3 | without sums                     | 95    |
 
   Scenario Outline: Plain replicas that report no load turn few calls away
     Given 3 replicas with 6 slots and 23 routers that share no word, replicas hide their load
     When calls of one of several ranks arrive for 16 s, from 4 s to 12 s <x> times what the slots can run
     Then replicas turn away at most <most> in 100 arrivals
 
-    Examples: without ranks, 26, 40 and 72 in 100
+    Examples: several times what the slots can run
       | x | most |
-      | 2 | 6    |
-      | 3 | 7    |
-      | 8 | 10   |
+      | 2 | 5    |
+      | 3 | 5    |
+      | 8 | 5    |
 
   Scenario: Ranks do not matter while there is room for all
     Given 14 replicas with 12 slots and 23 routers that share no word, replicas report their load
@@ -120,7 +120,7 @@
   Scenario: Callers that repeat at once what is rejected gain nothing
     Given 14 replicas with 12 slots and 23 routers that share no word, replicas report their load
     When requests of three ranks arrive at twice what the slots can run, and three in ten callers repeat every 0.1 s
-    Then of the least urgent rank, these are in time at most 8 in 100 more often
+    Then of the least urgent rank, these are in time at most 2 in 100 more often
 
   Scenario: The draw of a request is the same at all hosts for some seconds
     Given two hosts whose clocks differ by 0.2 s
@@ -131,4 +131,4 @@
   Scenario: An organisation that is less urgent than all others gets a part
     Given 14 replicas with 12 slots and 23 routers that share no word, replicas report their load
     When requests of three ranks arrive at three times what the slots can run, and those of one organisation come last
-    Then it gets at least a fifth of the mean share
+    Then it gets at least a quarter of the mean share
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -160,14 +160,10 @@
     )
 
 
-@behave.then(
-    'at most 1 in {part:d} of them get more than {most:d} requests in a second, '
-    'and none more than {limit:d}'
-)
-def few_above(context, part, most, limit):
+@behave.then('none of them gets more than {most:d} requests in a second')
+def none_above(context, most):
     found = [one for model in context.models for one in model.peaks()]
-    above = [one for one in found if one > most]
-    assert part * len(above) <= len(found) and max(found) <= limit, found
+    assert max(found) <= most, found
 
 
 @behave.when('a calm day passes')
--- a/features/steps/rank_steps.py
+++ b/features/steps/rank_steps.py
@@ -77,13 +77,13 @@
     ranked_load(context, 3, last='org23')
 
 
-@behave.then('it gets at least a fifth of the mean share')
+@behave.then('it gets at least a quarter of the mean share')
 def gets_a_part(context):
     begun_by = collections.Counter(
         one.organisation for one in context.model.of(4, 12) if one.started_at
     )
     mean = sum(begun_by.values()) / len(ORGANISATIONS)
-    assert begun_by['org23'] >= 0.2 * mean, begun_by
+    assert begun_by['org23'] >= 0.25 * mean, begun_by
 
 
 @behave.when(
