Where: name cold replicas, and ask with the rank of the request

Cause: the preview was written before cold replicas and ranks were merged, so it did not name a cold replica, and placed every request as the most urgent one.

--- a/features/steps/where_steps.py
+++ b/features/steps/where_steps.py
@@ -18,6 +18,8 @@
     placement_preview,
     replicas,
 )
+from papayaloom.routing.limits import cold_permits
+from papayaloom.version import routes
 
 SERVICE = ids.ServiceId('models')
 REQUEST = dispatch_messages.PlacementRequest(SERVICE, prefix='sheet')
@@ -45,6 +47,28 @@
     )
 
 
+@behave.given('a router with a warm and a cold replica')
+def warm_and_cold(context):
+    cfg = dispatch.Cfg(warming=cold_permits.Cfg(factor=1.5, slack=5))
+    context.router = dispatch.Dispatcher(cfg, random.Random(5))
+    context.router.cold.replicas.configure((routes.Service(SERVICE, 3, 8.5),))
+    for number, cold_s in enumerate((0, 3)):
+        one = replicas.Replica(
+            replicas.ReplicaId(f'r{number}'),
+            SERVICE,
+            ('127.0.0.1', 9000 + number),
+            cold_s=cold_s,
+        )
+        context.router.replicas.update(one, 0)
+
+
+@behave.then('the preview chooses the warm one, and calls the other cold')
+def cold_named(context):
+    views = {one.id: one for one in context.preview.replicas}
+    assert views['r0'].chosen_share == 1, views
+    assert views['r1'].exclusion.startswith('cold'), views
+
+
 @behave.when('it is asked where a request with a prompt prefix would go')
 @behave.when(
     'it is asked {times:d} times where a request with a prompt prefix would go'
--- a/features/where.feature
+++ b/features/where.feature
@@ -5,6 +5,11 @@
     When it is asked where a request with a prompt prefix would go
     Then the preview chooses the fourth, and says of the others "draining", "its zone is evacuated" and "a connection to it has just failed"
 
+  Scenario: A cold replica is named as such
+    Given a router with a warm and a cold replica
+    When it is asked where a request with a prompt prefix would go
+    Then the preview chooses the warm one, and calls the other cold
+
   Scenario: Asking changes neither counters nor budgets nor the next choices
     Given a router that knows 4 replicas, one draining, one in an evacuated zone and one unreachable
     When it is asked 20 times where a request with a prompt prefix would go
--- a/papayaloom/process/preview_endpoint.py
+++ b/papayaloom/process/preview_endpoint.py
@@ -91,7 +91,8 @@
         raise _refused('unknown key', 401)
     name = organisation.name if organisation else question.organisation
     rng = random.Random()
-    request = _placement_request(question, route, name, rng)
+    priority = routes.priority(organisation, route)
+    request = _placement_request(question, route, name, priority, rng)
     copied: dispatch.Dispatcher = dispatch_client.ask(
         lambda dispatcher, _: dispatcher.copy(rng)
     )
@@ -99,7 +100,7 @@
         version=table.version,
         route=route.name,
         organisation=name,
-        priority=routes.priority(organisation, route),
+        priority=priority,
         placement=placement_preview.preview(
             copied, request, time.monotonic(), rng
         ),
@@ -123,6 +124,7 @@
     question: Question,
     route: routes.Route,
     organisation: str,
+    priority: int,
     rng: random.Random,
 ) -> dispatch_messages.PlacementRequest:
     parts = [part for part in question.prefix.split(',') if part]
@@ -133,6 +135,7 @@
         objective_s=route.objective_s,
         left_s=min(route.timeout_s, _DEFAULT_LEFT_S),
         parts=tuple(ids.Fingerprint(part) for part in parts),
+        rank=(priority, route.priority),
     )
 
 
--- a/papayaloom/routing/placement_preview.py
+++ b/papayaloom/routing/placement_preview.py
@@ -163,6 +163,8 @@
             reason = unavailability.value
         if not reason and one not in unsuspected:
             reason = 'runs a request that may crash replicas'
+        if not reason and dispatcher.cold.is_cold(one, now):
+            reason = 'cold: it gets what permits allow'
         found[one.id] = reason
     return found
 
