Overload: counts of another form fail no placement

Cause: the precedence in the key of a count of another host was parsed without a check. A host that runs another version could make each placement raise ValueError (the new scenario did, before the change).

Change: keys of another form are ignored.

Result: the scenario passes.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -132,3 +132,8 @@
     Given 14 replicas with 12 slots and 23 routers that share no word, replicas report their load
     When requests of three ranks arrive at three times what the slots can run, and those of one organisation come last
     Then it gets at least a quarter of the mean share
+
+  Scenario: Counts of another host in an unknown form fail no placement
+    Given a router that has seen requests of two ranks
+    When it hears of demand under a key of another form
+    Then it places a further request
--- a/features/steps/rank_steps.py
+++ b/features/steps/rank_steps.py
@@ -1,13 +1,18 @@
 import collections
+import random
 
 import behave
 
 from features import placement_model
 from features.steps import overload_steps
 from papayaloom import ids
-from papayaloom.routing import dispatch_messages
+from papayaloom.request import header_dialect
+from papayaloom.routing import dispatch, dispatch_messages, replicas
+from papayaloom.routing.load import request_counts
 from papayaloom.routing.overload import rank_admission
 
+SERVICE = ids.ServiceId('models')
+
 RANKS = {
     0: placement_model.Rank(0.2, 0.6, 12),
     1: placement_model.Rank(0.15, 0.8, 10),
@@ -163,3 +168,36 @@
 def least_urgent(context):
     shares = [begun(context, rank) for rank in RANKS]
     assert shares[2] < shares[1] <= shares[0] + 0.05, shares
+
+
+@behave.given('a router that has seen requests of two ranks')
+def two_ranks(context):
+    context.router = dispatch.Dispatcher(dispatch.Cfg(), random.Random(1), 20)
+    one = replicas.Replica(
+        replicas.ReplicaId('r0'), SERVICE, ('127.0.0.1', 9000), slots=4
+    )
+    context.router.replicas.update(one, 0)
+    load = header_dialect.Load(3, 0, 4)
+    context.router.record_load(one.id, load, 0)
+    for rank in range(2):
+        context.router.place(request_of(rank), 0.1)
+
+
+def request_of(rank):
+    return dispatch_messages.PlacementRequest(SERVICE, rank=(rank, rank))
+
+
+@behave.when('it hears of demand under a key of another form')
+def unknown_form(context):
+    counts = request_counts.RequestCounts(
+        offered={'': 1, SERVICE: 2, f'{SERVICE} a b c': 3, f'{SERVICE} 1 2': 4},
+        completed={SERVICE: 10},
+        worked_ms={SERVICE: 5000},
+    )
+    context.router.update_fleet_counts(counts, 0.2)
+
+
+@behave.then('it places a further request')
+def places_further(context):
+    placed = context.router.place(request_of(0), 0.3)
+    assert placed.is_ok(), placed
--- a/papayaloom/routing/load/offered_load.py
+++ b/papayaloom/routing/load/offered_load.py
@@ -195,15 +195,29 @@
     rates: dict[Precedence, float] = {}
     keys = {*offered, *recent}
     for key in keys:
-        name, *levels = key.rsplit(' ', 3)
-        if name == service:
-            first, second, third = (int(one) for one in levels)
-            rates[first, second, third] = arrival_rates.corrected(
+        precedence = _precedence(key, service)
+        if precedence is not None:
+            rates[precedence] = arrival_rates.corrected(
                 offered.get(key, 0) / span_s, recent.get(key, 0)
             )
     return rates
 
 
+def _precedence(key: str, service: str) -> Precedence | None:
+    """Return the precedence in a key; None if it is of another service.
+
+    Other hosts may run a version that writes keys of another form.
+    """
+    name, *levels = key.rsplit(' ', 3)
+    if name != service:
+        return None
+    try:
+        first, second, third = (int(one) for one in levels)
+    except ValueError:
+        return None
+    return first, second, third
+
+
 def _raised(
     demand_per_s: dict[Precedence, float], certain_per_s: float
 ) -> dict[Precedence, float]:
