Review: faults and words that a newcomer found in the diff

Cause: a reader who did not write the parts found them (reproduced on a copy: the first two, the fourth and the sixth): rejecting a cold placement divided by zero, as did the preview of a service without replicas; a hedged request did not learn of unbounded responses; the admitted fractions outlived an overload; extra places ignored the speed of machines; arrivals were divided among the replicas that may get a request instead of those that share the traffic; requests tried at warm and cold replicas counted twice as demand; cancelled copies counted as completions; a listing wanted in a calm outlived it; state of organisations and replicas was never or wholly dropped.

Open, from the same review: the admission rate of a service is computed from the occupancy that one request sees.

--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -234,6 +234,7 @@
         service_time_s=2,
         arrivals_per_s=50,
         hosts=context.hosts,
+        sharing=len(context.names),
     )
 
 
--- a/papayaloom/connection/buffer_budget.py
+++ b/papayaloom/connection/buffer_budget.py
@@ -99,7 +99,7 @@
             }
 
     def take(self, owner: str, count: int) -> Room:
-        """Count bytes if there is room for them; return whether there is."""
+        """Count bytes if there is room for them; return the room found."""
         with self._lock:
             usage = self._usage_of(owner)
             held = self._held[owner] + count
--- a/papayaloom/process/cold_updates.py
+++ b/papayaloom/process/cold_updates.py
@@ -29,7 +29,7 @@
 ) -> None:
     """Set the fleet that shares the permits, and log new warm-ups.
 
-    :param age_s: time since the last word of the store.
+    :param age_s: time since the last answer of the store, direct or relayed.
     """
     fleet = cold_permits.Fleet(
         me,
--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -220,6 +220,8 @@
             self._called.notify_all()
 
     def _record_failure(self, exc: errors.StoreUnavailableError) -> None:
+        # It was wanted because the store had been calm.
+        self._is_listing_wanted = False
         if not self.is_store_unavailable:
             with self._called:
                 self.is_store_unavailable = True
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -180,6 +180,7 @@
     ) -> forward_attempt.Outcome:
         replica = choice.replica
         job.tried.add(replica.id)
+        job.proven_since = None
         delays = self._deps.hedge_delays
         if delays is not None and hedged_exchange.is_allowed(job):
             return hedged_exchange.HedgedExchange(
@@ -194,13 +195,9 @@
                 job, replica, result.Err(abandoned), started_at
             )
             raise
-        job.proven_since = None
         if isinstance(outcome, result.Err):
             failure = outcome.err_value
             forward_job.count_failure(job.progress, failure)
-            if failure.is_unbounded or failure.lacked_room:
-                job.proven_since = started_at
-                forward_log.exceeded(replica, failure, self._deps.buffers)
             if not (failure.is_error_response or failure.is_unreachable):
                 # What was received is dropped, so others may use the room.
                 job.buffers[-1].release()
@@ -318,6 +315,11 @@
         copy: request_copy.CopyState = request_copy.ONLY_COPY,
     ) -> None:
         failure = outcome.err()
+        if failure is not None and (
+            failure.is_unbounded or failure.lacked_room
+        ):
+            job.proven_since = started_at
+            forward_log.exceeded(replica, failure, self._deps.buffers)
         is_not_run = failure is not None and failure.verdict is _NOT_RUN
         duration_s = None if is_not_run else time.monotonic() - started_at
         self._deps.dispatch_client.ended(
--- a/papayaloom/process/large_blocks.py
+++ b/papayaloom/process/large_blocks.py
@@ -4,7 +4,8 @@
 are freed, but raises the size from which on it does so (up to 32 MB) with each
 block that it unmaps, and twice that size may then stay free at the top of each
 of its arenas, of which there are eight per core. malloc_trim() does not return
-that part. After a burst of long responses, 100 MB stayed with the process so.
+that part. Without a fixed
+threshold, the process keeps this memory after a burst of long responses.
 """
 
 import ctypes
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -177,7 +177,9 @@
             self.evacuations.log_unknown(dispatcher)
             self._close_idle(removed)
             self._close_idle(
-                dispatcher.evacuations.idle(dispatcher.replicas.dump())
+                dispatcher.evacuations.evacuated_replicas(
+                    dispatcher.replicas.dump()
+                )
             )
 
         self._dispatch_client.tell(step)
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -164,7 +164,9 @@
         chosen = self.cold.choose(
             request,
             proven or candidates,
-            lambda among, cold: self._choose(request, ready, among, cold, now),
+            lambda among, cold: self._choose(
+                request, ready, among, len(candidates), cold, now
+            ),
             now,
         )
         if isinstance(chosen, result.Ok):
@@ -182,7 +184,8 @@
         self._shedder.record_end(
             attempt_result.service, attempt_result.organisation
         )
-        if attempt_result.duration_s is not None:
+        is_whole = not attempt_result.is_cancelled
+        if attempt_result.duration_s is not None and is_whole:
             self._service_times_s.add(
                 attempt_result.service, attempt_result.duration_s
             )
@@ -268,7 +271,7 @@
             service, now
         ) * self._service_times_s.get(service, 0)
         return self._load_estimates.estimates(
-            [one.id for one in ready], now, others / len(ready)
+            [one.id for one in ready], now, others / max(len(ready), 1)
         )
 
     def dump(self, now: float) -> dict[str, object]:
@@ -300,12 +303,18 @@
         request: dispatch_messages.PlacementRequest,
         ready: list[replicas.Replica],
         candidates: list[replicas.Replica],
+        sharing: int,
         is_cold: bool,
         now: float,
     ) -> PlacementResult:
-        """Choose one of the candidates, unless the request is rejected."""
+        """Choose one of the candidates, unless the request is rejected.
+
+        :param sharing: number of replicas that share the arrivals.
+        """
         estimates = self.estimates(request.service, ready, now)
-        traffic = self._traffic.expected(request.service, estimates, now)
+        traffic = self._traffic.expected(
+            request.service, estimates, sharing, now
+        )
         if request.hedge_of:
             load = hedging.Load(estimates, traffic, len(ready))
             admission = self._hedging.admit(request, candidates, load, now)
--- a/papayaloom/routing/dispatch_messages.py
+++ b/papayaloom/routing/dispatch_messages.py
@@ -22,7 +22,8 @@
         not a hedge.
     :param rank: priority of its organisation, or else of its route, and
         priority of its route; 0 is the most urgent.
-    :param waited_s: time that its caller has waited before it arrived here.
+    :param waited_s: part of the timeout of its route that has passed, before the
+        request arrived here or in earlier attempts.
     :param draw: 0 to 1, the same for its repetitions; None to draw at random.
     :param proven_since: place it only on replicas that have succeeded since
         this time while such a success can be expected, because others may have
--- a/papayaloom/routing/health/attempt_health.py
+++ b/papayaloom/routing/health/attempt_health.py
@@ -1,4 +1,4 @@
-"""What the attempts at replicas say of their health, and of a retry.
+"""Applies attempt results to ejections, retry budgets and failing requests.
 
 Answers two load patterns: replicas that fail part of their requests, which are
 ejected, and requests that fail at every replica, which are not retried.
@@ -15,7 +15,7 @@
 
 
 class AttemptHealth:
-    """Results of attempts, as ejections, retry budgets and failing requests."""
+    """Ejections, retry budgets and requests that fail everywhere."""
 
     def __init__(
         self,
@@ -59,7 +59,7 @@
     def retry_refusal(
         self, request: dispatch_messages.PlacementRequest, now: float
     ) -> errors.Problem | None:
-        """Return why a retry is not sent; None if it or a first attempt is."""
+        """Return why a retry must not be sent; None if the request may be sent."""
         if not request.is_retry:
             return None
         if self._failing.fails_everywhere(request.fingerprint, now):
--- a/papayaloom/routing/health/evacuations.py
+++ b/papayaloom/routing/health/evacuations.py
@@ -123,7 +123,7 @@
             return listed
         return [one for one in listed if one.zone not in self._evacuated_at]
 
-    def idle(
+    def evacuated_replicas(
         self, listed: typing.Iterable[replicas.Replica]
     ) -> list[replicas.ReplicaId]:
         """Return the replicas to which no connection is kept."""
--- a/papayaloom/routing/limits/cold_choice.py
+++ b/papayaloom/routing/limits/cold_choice.py
@@ -176,8 +176,8 @@
 ) -> load_shedding.Admission | errors.Problem:
     """Return the cold replicas that have a free slot for a request.
 
-    Other than :meth:`load_shedding.LoadShedder.admit`, this does not reckon with
-    what other routers send meanwhile: it is bounded by their permits.
+    Unlike :meth:`load_shedding.LoadShedder.admit`, this ignores what other
+    routers send meanwhile, as their permits bound it.
     """
     free = [
         one
--- a/papayaloom/routing/limits/cold_permits.py
+++ b/papayaloom/routing/limits/cold_permits.py
@@ -20,13 +20,13 @@
 from papayaloom import hashing
 from papayaloom.routing import replicas
 
-# Word of the store that is older than this may lack other routers.
+# With store data older than this, other routers may be missing.
 _MAX_AGE_S = 3.0
 # A change of the fleet reaches all routers within 2.4 s, and is taken over by each
 # within another second.
 _SETTLE_S = 4.0
 # A router that has left may still send until it notices, at the latest when its
-# word of the store is too old.
+# data from the store is too old.
 _LEFT_HOLD_S = _MAX_AGE_S + _SETTLE_S
 _MAX_REPLICAS = 4096
 
@@ -55,7 +55,7 @@
     :param me: name of this router.
     :param names: names of all routers.
     :param is_registered: whether the store has an entry for this router.
-    :param age_s: time since the last word of the store.
+    :param age_s: time since the last answer of the store, direct or relayed.
     """
 
     me: str
--- a/papayaloom/routing/limits/cold_replicas.py
+++ b/papayaloom/routing/limits/cold_replicas.py
@@ -2,7 +2,7 @@
 
 Answers the load pattern of replicas that need a warm-up after a start, and at
 times later: under their usual load they would crash. What a router knows is up to
-some seconds old. The rest of a warm-up counts from the receipt of the word, so
+some seconds old. The rest of a warm-up counts from the receipt of the report, so
 that a router never takes a replica for warm too early. A replica that has become
 warm gets its usual load in steps.
 """
--- a/papayaloom/routing/limits/unheard_replicas.py
+++ b/papayaloom/routing/limits/unheard_replicas.py
@@ -1,8 +1,8 @@
 """Replicas that may be cold although this router has not heard of it.
 
 Answers the load pattern of a replica that turns cold while the load jumps: until
-its word has arrived, each router would send it its part of the jump. A response
-brings the word at once. So a router sends a replica from which it has not heard
+its report has arrived, each router would send it its part of the jump. A response
+reports it at once. So a router sends a replica from which it has not heard
 for a moment one request, and waits for the response before the next. While its
 load jumps, it turns to such replicas only if it is among the first in rank for
 them, and rejects what the others cannot take.
@@ -19,11 +19,11 @@
 _HEARD_S = 1.0
 # Time after which a request without a response no longer stands in the way.
 _ANSWER_S = 1.0
-# Routers that turn to an unheard replica while the load jumps. Eight let a
-# replica get above its bound more often (features/cold_model.py).
-_SCOUTS = 4
-# Standard deviations by which recent arrivals are above the usual in a jump. With
-# two, 3 of 14,500 requests were rejected on a calm day.
+# Routers that turn to an unheard replica while the load jumps. With more, a
+# replica exceeds its bound more often.
+_MAX_PROBING_ROUTERS = 4
+# Standard deviations above the usual from which recent arrivals are a jump. A
+# lower number rejects requests under steady load.
 _DEVIATIONS = 3
 # Time after which a router knows its usual load.
 _WARM_UP_S = 5.0
@@ -50,15 +50,11 @@
 
     def record_request(self, replica: str, now: float) -> None:
         """Record a request that was placed on a replica."""
-        if len(self._sent_at) >= _MAX_REPLICAS:
-            self._sent_at.clear()
-        self._sent_at[replica] = now
+        _put_last(self._sent_at, replica, now)
 
     def record_response(self, replica: str, now: float) -> None:
         """Record a response of a replica."""
-        if len(self._heard_at) >= _MAX_REPLICAS:
-            self._heard_at.clear()
-        self._heard_at[replica] = now
+        _put_last(self._heard_at, replica, now)
 
     def record_arrival(self, service: ids.ServiceId, now: float) -> bool:
         """Record a request to place.
@@ -99,4 +95,12 @@
         sent_at = self._sent_at.get(replica, -math.inf)
         if sent_at > heard_at and now - sent_at < _ANSWER_S:
             return False
-        return not is_jump or self._rank(replica) < _SCOUTS
+        return not is_jump or self._rank(replica) < _MAX_PROBING_ROUTERS
+
+
+def _put_last(times: dict[str, float], replica: str, now: float) -> None:
+    """Set a time, and drop the oldest one if there are too many."""
+    times.pop(replica, None)
+    times[replica] = now
+    if len(times) > _MAX_REPLICAS:
+        times.pop(next(iter(times)))
--- a/papayaloom/routing/load/fleet_traffic.py
+++ b/papayaloom/routing/load/fleet_traffic.py
@@ -61,18 +61,13 @@
         if preferred is not None:
             self._by_preferred.record(preferred.id, now)
 
-    def record_offered(
-        self,
-        service: ids.ServiceId,
-        precedence: offered_load.Precedence,
-        now: float,
+    def ranked_service(
+        self, service: ids.ServiceId, now: float
     ) -> offered_load.RankedService | None:
-        """Count a request that asks for a place.
+        """Return the load of a service by rank.
 
-        :returns: the load of its service; None if all requests of the
-            deployment have one rank.
+        None if all requests of the deployment have one rank.
         """
-        self.offered.record_offered(service, precedence, now)
         if not self.offered.has_ranks:
             return None
         totals = self._totals if self._has_totals(now) else None
@@ -121,9 +116,13 @@
         self,
         service: ids.ServiceId,
         estimates: dict[str, load_estimates.LoadEstimate],
+        sharing: int,
         now: float,
     ) -> replica_choice.Traffic:
-        """Return the expected traffic of the other routers."""
+        """Return the expected traffic of the other routers.
+
+        :param sharing: number of replicas that share it.
+        """
         arrivals = self._service_arrivals(service, now)
         running = sum(one.total for one in estimates.values())
         return replica_choice.Traffic(
@@ -133,6 +132,7 @@
             service_time_s=_service_time_s(
                 running, arrivals / request_counts.ARRIVAL_WINDOW_S
             ),
+            sharing=sharing,
             is_fleet_wide=self._has_totals(now),
         )
 
--- a/papayaloom/routing/overload/hedging.py
+++ b/papayaloom/routing/overload/hedging.py
@@ -149,6 +149,7 @@
     """Load of the replicas of a service.
 
     :param estimates: load estimates by replica.
+    :param traffic: expected traffic of the other routers.
     :param ready: number of replicas that share the traffic.
     """
 
--- a/papayaloom/routing/overload/least_shares.py
+++ b/papayaloom/routing/overload/least_shares.py
@@ -12,6 +12,8 @@
 _LEAST_SHARE = 0.25
 # Long enough to see that an organisation with little traffic gets its share.
 _DECAY_TIME_S = 10.0
+# An organisation with a lower rate has sent nothing for about half a minute.
+_IDLE_PER_S = 0.005
 
 
 class LeastShares:
@@ -51,11 +53,7 @@
 
         :param limit_per_s: requests a second that this router may admit.
         """
-        active = sum(
-            1
-            for one in self._organisations.get(service, ())
-            if self._offered.per_s(_key(service, one), now) > 1 / _DECAY_TIME_S
-        )
+        active = len(self._active(service, now))
         if not organisation or active < 2:
             return 0
         key = _key(service, organisation)
@@ -64,6 +62,19 @@
         missing_per_s = wanted_per_s - self._admitted.per_s(key, now)
         return max(missing_per_s, 0) / self._offered.per_s(key, now)
 
+    def _active(self, service: ids.ServiceId, now: float) -> list[str]:
+        """Return the organisations with recent requests; forget idle ones."""
+        active = []
+        for one in tuple(self._organisations.get(service, ())):
+            per_s = self._offered.per_s(_key(service, one), now)
+            if per_s > 1 / _DECAY_TIME_S:
+                active.append(one)
+            elif per_s < _IDLE_PER_S:
+                self._organisations[service].discard(one)
+                self._offered.forget(_key(service, one))
+                self._admitted.forget(_key(service, one))
+        return active
+
 
 def _key(service: ids.ServiceId, organisation: str) -> str:
     return f'{service} {organisation}'
--- a/papayaloom/routing/overload/load_shedding.py
+++ b/papayaloom/routing/overload/load_shedding.py
@@ -86,7 +86,7 @@
     :param may_have_run: an earlier attempt may have run.
     :param rank: priority of its organisation, or else of its route, and
         priority of its route; 0 is the most urgent.
-    :param is_late: it cannot meet its objective, or a replica has refused it.
+    :param is_late: it has waited longer than its objective, or is a retry.
     :param draw: 0 to 1, the same for its repetitions; None to draw at random.
     :param has_prefix: it shares a prompt prefix with others.
     """
@@ -129,6 +129,8 @@
     :param service_time_s: mean time that a request spends at a replica.
     :param arrivals_per_s: arrivals at the service from the other routers.
     :param hosts: number of routers in the fleet.
+    :param sharing: number of replicas that share the arrivals; some of them may
+        not get the request.
     :param ranked: load of the service by rank; None if all requests of the
         deployment have one rank.
     """
@@ -138,6 +140,7 @@
     service_time_s: float
     arrivals_per_s: float
     hosts: int
+    sharing: int
     ranked: offered_load.RankedService | None = None
 
 
@@ -253,7 +256,7 @@
             load.candidates,
             load.estimates,
             service_time_s,
-            arrivals_per_s / len(load.candidates),
+            arrivals_per_s / load.sharing,
             max_wait_s,
         )
 
@@ -314,7 +317,7 @@
         factor = self._cfg.organisation_factor
         free = use.all_free
         # With more free places no organisation can exceed its share. A router
-        # that sees a sliver of the traffic could only be misled.
+        # that sees little of the traffic cannot judge a share.
         if not demand.organisation or free * (factor + 1) >= use.places:
             return False
         running = self._running[demand.service, demand.organisation]
@@ -336,7 +339,9 @@
     def _retry_s(self, demand: Demand, now: float) -> float:
         """Return the retry delay of a rejected request."""
         rejected = self._rejected.per_s(demand.service, now)
-        share = rejected / self._offered.per_s(demand.service, now)
+        offered = self._offered.per_s(demand.service, now)
+        # Requests for cold replicas are not counted as offered.
+        share = min(rejected / offered, 1) if offered else 1
         if self.ranks.is_limited(demand.service):
             return retry_delays.ranked_s(share, demand.left_s, self._rng)
         return retry_delays.overload_s(share, demand.left_s, self._rng)
@@ -345,7 +350,10 @@
 def _extra_places(
     standing: rank_admission.Standing, use: occupancy.Occupancy
 ) -> float:
-    """Return the places beyond the usual ones, as a multiple of the slots."""
+    """Return the places beyond the usual ones, as a multiple of the slots.
+
+    Negative where a request may not wait for a slot.
+    """
     if standing is rank_admission.Standing.AHEAD:
         return _OVERTAKEN
     if standing is rank_admission.Standing.MARGINAL:
@@ -374,5 +382,10 @@
     return [
         one
         for one in load.candidates
-        if use.free[one.id] + extra * one.slots >= 1
+        if use.free[one.id] + extra * _present_slots(one, load) >= 1
     ]
+
+
+def _present_slots(replica: replicas.Replica, load: Load) -> float:
+    """Return the slots of a replica at the present speed of its machine."""
+    return replica.slots / load.estimates[replica.id].slowdown
--- a/papayaloom/routing/overload/rank_admission.py
+++ b/papayaloom/routing/overload/rank_admission.py
@@ -58,7 +58,7 @@
     EXCLUDED = 'excluded'
 
 
-class _Cut(msgspec.Struct, frozen=True):
+class _Decision(msgspec.Struct, frozen=True):
     """Which part of each precedence is admitted.
 
     :param peak_per_s: highest rate of completions lately.
@@ -93,7 +93,7 @@
 
     def __init__(self) -> None:
         """Initialise without decisions."""
-        self._cuts: dict[ids.ServiceId, _Cut] = {}
+        self._decisions: dict[ids.ServiceId, _Decision] = {}
 
     def standing(
         self,
@@ -109,15 +109,16 @@
         :param draw: 0 to 1; the same for all repetitions of a request.
         :param service_load: called when a new decision is needed.
         """
-        cut = self._cuts.get(service)
-        if use.expected <= _BUSY_SHARE * use.places and not _is_quick(cut):
+        decision = self._decisions.get(service)
+        if use.expected <= _BUSY_SHARE * use.places and not _is_quick(decision):
+            self._end_limit(service, decision)
             return Standing.UNRANKED
-        if cut is None or now - cut.decided_at >= _UPDATE_S:
-            cut = _decide(use, service_load(), cut, now)
-            self._cuts[service] = cut
-        if not cut.fractions:
+        if decision is None or now - decision.decided_at >= _UPDATE_S:
+            decision = _decide(use, service_load(), decision, now)
+            self._decisions[service] = decision
+        if not decision.fractions:
             return Standing.UNRANKED
-        fraction = cut.fraction(precedence)
+        fraction = decision.fraction(precedence)
         if fraction >= 1:
             return Standing.AHEAD
         if not fraction:
@@ -126,36 +127,45 @@
 
     def run_time_s(self, service: ids.ServiceId) -> float:
         """Return the time that a request runs, without waiting, at most."""
-        cut = self._cuts.get(service)
-        return math.inf if cut is None else cut.run_time_s
+        decision = self._decisions.get(service)
+        return math.inf if decision is None else decision.run_time_s
 
     def is_limited(self, service: ids.ServiceId) -> bool:
         """Whether a service does not admit requests of all ranks."""
-        cut = self._cuts.get(service)
-        return cut is not None and bool(cut.fractions)
+        decision = self._decisions.get(service)
+        return decision is not None and bool(decision.fractions)
 
     def limit_per_s(self, service: ids.ServiceId) -> float:
         """Return the requests a second that all routers may admit."""
-        cut = self._cuts.get(service)
-        return math.inf if cut is None else cut.limit_per_s
+        decision = self._decisions.get(service)
+        return math.inf if decision is None else decision.limit_per_s
 
     def dump(self) -> dict[str, object]:
         """Return the admitted fractions of services that reject requests."""
         return {
             service: {
                 ' '.join(str(one) for one in precedence): round(fraction, 3)
-                for precedence, fraction in cut.fractions.items()
+                for precedence, fraction in decision.fractions.items()
             }
-            for service, cut in self._cuts.items()
-            if cut.fractions
+            for service, decision in self._decisions.items()
+            if decision.fractions
         }
 
+    def _end_limit(
+        self, service: ids.ServiceId, decision: _Decision | None
+    ) -> None:
+        """Drop the fractions of a service that is no longer overloaded."""
+        if decision is not None and decision.fractions:
+            self._decisions[service] = msgspec.structs.replace(
+                decision, limit_per_s=math.inf, fractions={}
+            )
 
-def _is_quick(cut: _Cut | None) -> bool:
+
+def _is_quick(decision: _Decision | None) -> bool:
     """Whether the occupancy is outdated before it is known."""
-    if cut is None or not cut.fractions:
+    if decision is None or not decision.fractions:
         return False
-    return cut.run_time_s < _SLOW_SERVICE_S / 2
+    return decision.run_time_s < _SLOW_SERVICE_S / 2
 
 
 def draw(fingerprint: ids.Fingerprint, wall_s: float) -> float:
@@ -174,9 +184,9 @@
 def _decide(
     use: occupancy.Occupancy,
     load: offered_load.ServiceLoad,
-    before: _Cut | None,
+    before: _Decision | None,
     now: float,
-) -> _Cut:
+) -> _Decision:
     peak_per_s = max(load.recently_per_s, _decayed_peak_per_s(before, now))
     run_time_s = use.slots / peak_per_s if peak_per_s else math.inf
     fractions: dict[offered_load.Precedence, float] = {}
@@ -184,7 +194,7 @@
     if load.service_time_s is not None:
         limit_per_s = _limit_per_s(use, load, load.service_time_s, peak_per_s)
         fractions = _fractions(load.demand_per_s, limit_per_s)
-    return _Cut(now, peak_per_s, run_time_s, limit_per_s, fractions)
+    return _Decision(now, peak_per_s, run_time_s, limit_per_s, fractions)
 
 
 def _fractions(
@@ -208,7 +218,7 @@
     return fractions
 
 
-def _decayed_peak_per_s(before: _Cut | None, now: float) -> float:
+def _decayed_peak_per_s(before: _Decision | None, now: float) -> float:
     if before is None:
         return 0
     age_s = now - before.decided_at
--- a/papayaloom/routing/service_admission.py
+++ b/papayaloom/routing/service_admission.py
@@ -30,6 +30,7 @@
         self._shedder = shedder
         self._traffic = traffic
         self._health = health
+        self._counted: dispatch_messages.PlacementRequest | None = None
 
     def admit(
         self,
@@ -52,13 +53,13 @@
             traffic.service_time_s,
             traffic.arrivals_per_s,
             self._traffic.hosts,
+            traffic.sharing,
         )
         if is_cold:
             admission = cold_choice.admit(demand, load)
         else:
-            ranked = self._traffic.record_offered(
-                request.service, demand.precedence, now
-            )
+            self._count(request, demand, now)
+            ranked = self._traffic.ranked_service(request.service, now)
             load = msgspec.structs.replace(load, ranked=ranked)
             admission = self._shedder.admit(demand, load, now)
         if isinstance(admission, errors.Problem):
@@ -75,3 +76,16 @@
         found = problem(request.service)
         demand = load_shedding.demand(request)
         return result.Err(self._shedder.reject(demand, found, now))
+
+    def _count(
+        self,
+        request: dispatch_messages.PlacementRequest,
+        demand: load_shedding.Demand,
+        now: float,
+    ) -> None:
+        """Count a request as demand, once if it is tried at several sets."""
+        if request is not self._counted:
+            self._counted = request
+            self._traffic.offered.record_offered(
+                request.service, demand.precedence, now
+            )
