Overload: the ranks share the whole service, not what one request may get

Cause: the admission rate of a service was worked out from the occupancy of the replicas that the request at hand might get. While the load jumps, a host may use only part of the replicas of a service with a cold rate, and took that part for the capacity of all (found in review).

Change: the replicas that share the traffic are passed along; the decision about ranks, and the arrivals at each replica, count all of them.

--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -234,7 +234,7 @@
         service_time_s=2,
         arrivals_per_s=50,
         hosts=context.hosts,
-        sharing=len(context.names),
+        serving=context.routers[0].replicas.ready(SERVICE, 0),
     )
 
 
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -165,7 +165,7 @@
             request,
             proven or candidates,
             lambda among, cold: self._choose(
-                request, ready, among, len(candidates), cold, now
+                request, ready, among, candidates, cold, now
             ),
             now,
         )
@@ -303,17 +303,18 @@
         request: dispatch_messages.PlacementRequest,
         ready: list[replicas.Replica],
         candidates: list[replicas.Replica],
-        sharing: int,
+        serving: list[replicas.Replica],
         is_cold: bool,
         now: float,
     ) -> PlacementResult:
         """Choose one of the candidates, unless the request is rejected.
 
-        :param sharing: number of replicas that share the arrivals.
+        :param serving: replicas that share the traffic, among them the
+            candidates.
         """
         estimates = self.estimates(request.service, ready, now)
         traffic = self._traffic.expected(
-            request.service, estimates, sharing, now
+            request.service, estimates, serving, now
         )
         if request.hedge_of:
             load = hedging.Load(estimates, traffic, len(ready))
--- a/papayaloom/routing/load/fleet_traffic.py
+++ b/papayaloom/routing/load/fleet_traffic.py
@@ -8,6 +8,7 @@
 """
 
 import math
+import typing
 
 from papayaloom import ids
 from papayaloom.routing import replica_choice, replicas
@@ -116,12 +117,12 @@
         self,
         service: ids.ServiceId,
         estimates: dict[str, load_estimates.LoadEstimate],
-        sharing: int,
+        serving: typing.Sequence[replicas.Replica],
         now: float,
     ) -> replica_choice.Traffic:
         """Return the expected traffic of the other routers.
 
-        :param sharing: number of replicas that share it.
+        :param serving: replicas that share it.
         """
         arrivals = self._service_arrivals(service, now)
         running = sum(one.total for one in estimates.values())
@@ -132,7 +133,7 @@
             service_time_s=_service_time_s(
                 running, arrivals / request_counts.ARRIVAL_WINDOW_S
             ),
-            sharing=sharing,
+            serving=serving,
             is_fleet_wide=self._has_totals(now),
         )
 
--- a/papayaloom/routing/overload/load_shedding.py
+++ b/papayaloom/routing/overload/load_shedding.py
@@ -129,8 +129,8 @@
     :param service_time_s: mean time that a request spends at a replica.
     :param arrivals_per_s: arrivals at the service from the other routers.
     :param hosts: number of routers in the fleet.
-    :param sharing: number of replicas that share the arrivals; some of them may
-        not get the request.
+    :param serving: replicas that share the arrivals; some of them may not get
+        the request.
     :param ranked: load of the service by rank; None if all requests of the
         deployment have one rank.
     """
@@ -140,7 +140,7 @@
     service_time_s: float
     arrivals_per_s: float
     hosts: int
-    sharing: int
+    serving: typing.Sequence[replicas.Replica]
     ranked: offered_load.RankedService | None = None
 
 
@@ -195,10 +195,16 @@
         # longest objective, often the least urgent ones, would crowd out others.
         self._objectives_s.add(demand.service, demand.objective_s)
         objective_s = self._objectives_s.get(demand.service, 0)
-        use = self._occupancy(
-            demand.service, load, self._cfg.wait_share * objective_s
-        )
-        standing = self._standing(demand, load, use, now)
+        max_wait_s = self._cfg.wait_share * objective_s
+        use = self._occupancy(demand.service, load, load.candidates, max_wait_s)
+        # The ranks share the whole service, whichever replicas may get this
+        # request.
+        whole_use = use
+        if len(load.serving) > len(load.candidates):
+            whole_use = self._occupancy(
+                demand.service, load, load.serving, max_wait_s
+            )
+        standing = self._standing(demand, load, whole_use, now)
         open_replicas = _open_replicas(load, use, _extra_places(standing, use))
         if demand.may_have_run:
             return Admission(open_replicas or list(load.candidates))
@@ -240,7 +246,11 @@
         }
 
     def _occupancy(
-        self, service: ids.ServiceId, load: Load, max_wait_s: float
+        self,
+        service: ids.ServiceId,
+        load: Load,
+        measured: typing.Sequence[replicas.Replica],
+        max_wait_s: float,
     ) -> occupancy.Occupancy:
         service_time_s, arrivals_per_s = (
             load.service_time_s,
@@ -253,10 +263,10 @@
                 self.ranks.run_time_s(service),
             )
         return occupancy.measure(
-            load.candidates,
+            measured,
             load.estimates,
             service_time_s,
-            arrivals_per_s / load.sharing,
+            arrivals_per_s / len(load.serving),
             max_wait_s,
         )
 
--- a/papayaloom/routing/replica_choice.py
+++ b/papayaloom/routing/replica_choice.py
@@ -49,8 +49,8 @@
     :param preferred_per_s: returns the arrivals per second whose prefix ranks
         a given replica first, raised at once when traffic rises.
     :param service_time_s: mean time that a request spends at a replica.
-    :param sharing: number of replicas that share the arrivals; some of them may
-        be no candidates of a request.
+    :param serving: replicas that share the arrivals; some of them may be no
+        candidates of a request.
     :param is_fleet_wide: the rates are sums over all routers; otherwise they
         are extrapolated from this router's own, which is too imprecise for a
         single replica.
@@ -60,7 +60,7 @@
     least_arrivals_per_s: float
     preferred_per_s: typing.Callable[[str], float]
     service_time_s: float
-    sharing: int
+    serving: typing.Sequence[replicas.Replica]
     is_fleet_wide: bool
 
 
@@ -181,7 +181,7 @@
     """
     known = [estimates[one.id] for one in candidates]
     service_time_s = traffic.service_time_s
-    arrivals_per_s = traffic.least_arrivals_per_s / traffic.sharing
+    arrivals_per_s = traffic.least_arrivals_per_s / len(traffic.serving)
     expected = sum(
         one.expected_total(service_time_s, arrivals_per_s) for one in known
     )
@@ -349,7 +349,7 @@
             * traffic.service_time_s
             * traffic.arrivals_per_s
         )
-    expected_arrivals /= traffic.sharing
+    expected_arrivals /= len(traffic.serving)
     level = _water_level(sorted(loads.values()), expected_arrivals)
     rooms = [level - loads[one.id] for one in candidates]
     if max(rooms) <= 0:
--- a/papayaloom/routing/service_admission.py
+++ b/papayaloom/routing/service_admission.py
@@ -53,7 +53,7 @@
             traffic.service_time_s,
             traffic.arrivals_per_s,
             self._traffic.hosts,
-            traffic.sharing,
+            traffic.serving,
         )
         if is_cold:
             admission = cold_choice.admit(demand, load)
