Placement: replicas that are held back count for the mean load

The bound on a replica is a multiple of the mean of its service, but the mean was taken over the replicas that a request might get, without those that were evacuated, cold or back for a part of the prefixes only.

Change: they count for the mean, as holding nothing.

Deployments that evacuate no zone and have no cold replicas are not concerned.

--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -138,14 +138,15 @@
         self._availability.ejections(request.service).update_upstreams(
             one.id for one in ready
         )
-        available = self._availability.candidates(
-            request.service, ready, request.tried, now
+        isolated = self.poison.isolated(
+            subject,
+            self._availability.candidates(
+                request.service, ready, request.tried, now
+            ),
+            now,
         )
         candidates = self.evacuations.ramped(
-            self.poison.isolated(subject, available, now),
-            request.prefix,
-            now,
-            self._rng,
+            isolated, request.prefix, now, self._rng
         )
         if not candidates:
             return result.Err(
@@ -161,11 +162,19 @@
             one.id for one in candidates
         ):
             return result.Err(placement_problems.unproven())
+        pool = replica_choice.Pool(
+            candidates,
+            len(listed)
+            - len(ready)
+            + len(isolated)
+            - len(candidates)
+            + self.cold.held_back(request, candidates, now),
+        )
         chosen = self.cold.choose(
             request,
             proven or candidates,
             lambda among, cold: self._choose(
-                request, ready, among, candidates, cold, now
+                request, ready, among, pool, cold, now
             ),
             now,
         )
@@ -303,18 +312,14 @@
         request: dispatch_messages.PlacementRequest,
         ready: list[replicas.Replica],
         candidates: list[replicas.Replica],
-        serving: list[replicas.Replica],
+        pool: replica_choice.Pool,
         is_cold: bool,
         now: float,
     ) -> PlacementResult:
-        """Choose one of the candidates, unless the request is rejected.
-
-        :param serving: replicas that share the traffic, among them the
-            candidates.
-        """
+        """Choose one of the candidates, unless the request is rejected."""
         estimates = self.estimates(request.service, ready, now)
         traffic = self._traffic.expected(
-            request.service, estimates, serving, now
+            request.service, estimates, pool.serving, now
         )
         if request.hedge_of:
             load = hedging.Load(estimates, traffic, len(ready))
@@ -334,7 +339,12 @@
                 request, placement_problems.rate_limited, now
             )
         choice = replica_choice.choose(
-            self._eligible(request, allowed, limited, admission.crowding, now),
+            msgspec.structs.replace(
+                self._eligible(
+                    request, allowed, limited, admission.crowding, now
+                ),
+                held_back=pool.held_back,
+            ),
             estimates,
             traffic,
             request.prefix,
