--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -131,9 +131,3 @@
     When a host is suspended for longer than an evacuation may take
     Then a request waits until the host has asked for changes
     And no request waits while the store is known to be away
-
-  # Guards against a bound that rises while a zone is empty.
-  Scenario: The mean load counts the replicas of an evacuated zone
-    Given 6 replicas with 8 requests each, and 3 empty ones in the zone "a"
-    When the zone of the empty ones is evacuated
-    Then a request with a prefix is placed by a mean of at most 5.4
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -10,7 +10,6 @@
 from papayaloom import ids
 from papayaloom.ports import kv
 from papayaloom.process import relay
-from papayaloom.request import header_dialect
 from papayaloom.routing import dispatch, dispatch_messages, replicas
 from papayaloom.routing.load import request_counts
 from papayaloom.routing.overload import budgets
@@ -218,29 +217,3 @@
 def in_snapshot(context, zone):
     content = msgspec.msgpack.encode({f'op/evacuate/{zone}': b'{}'})
     context.view.evacuations.restore(content)
-
-
-@behave.given(
-    '{busy:d} replicas with {count:d} requests each, and {empty:d} empty ones in '
-    'the zone "a"'
-)
-def busy_and_empty(context, busy, count, empty):
-    context.router = dispatch.Dispatcher(dispatch.Cfg(), random.Random(4))
-    for number in range(busy + empty):
-        one = replica('b' if number < busy else 'a', number)
-        context.router.replicas.update(one, 0)
-        running = count if number < busy else 0
-        load = header_dialect.Load(running, 0, 64)
-        context.router.record_load(one.id, load, 0)
-
-
-@behave.when('the zone of the empty ones is evacuated')
-def empty_evacuated(context):
-    context.router.evacuations.evacuate('a', 0)
-
-
-@behave.then('a request with a prefix is placed by a mean of at most {mean:g}')
-def by_mean(context, mean):
-    request = dispatch_messages.PlacementRequest(SERVICE, prefix='sheet')
-    choice = context.router.place(request, 0.01).unwrap()
-    assert choice.mean <= mean, choice
--- a/papayaloom/routing/dispatch.py
+++ b/papayaloom/routing/dispatch.py
@@ -138,15 +138,14 @@
         self._availability.ejections(request.service).update_upstreams(
             one.id for one in ready
         )
-        isolated = self.poison.isolated(
-            subject,
-            self._availability.candidates(
-                request.service, ready, request.tried, now
-            ),
-            now,
+        available = self._availability.candidates(
+            request.service, ready, request.tried, now
         )
         candidates = self.evacuations.ramped(
-            isolated, request.prefix, now, self._rng
+            self.poison.isolated(subject, available, now),
+            request.prefix,
+            now,
+            self._rng,
         )
         if not candidates:
             return result.Err(
@@ -162,19 +161,11 @@
             one.id for one in candidates
         ):
             return result.Err(placement_problems.unproven())
-        pool = replica_choice.Pool(
-            candidates,
-            len(listed)
-            - len(ready)
-            + len(isolated)
-            - len(candidates)
-            + self.cold.held_back(request, candidates, now),
-        )
         chosen = self.cold.choose(
             request,
             proven or candidates,
             lambda among, cold: self._choose(
-                request, ready, among, pool, cold, now
+                request, ready, among, candidates, cold, now
             ),
             now,
         )
@@ -312,14 +303,18 @@
         request: dispatch_messages.PlacementRequest,
         ready: list[replicas.Replica],
         candidates: list[replicas.Replica],
-        pool: replica_choice.Pool,
+        serving: list[replicas.Replica],
         is_cold: bool,
         now: float,
     ) -> PlacementResult:
-        """Choose one of the candidates, unless the request is rejected."""
+        """Choose one of the candidates, unless the request is rejected.
+
+        :param serving: replicas that share the traffic, among them the
+            candidates.
+        """
         estimates = self.estimates(request.service, ready, now)
         traffic = self._traffic.expected(
-            request.service, estimates, pool.serving, now
+            request.service, estimates, serving, now
         )
         if request.hedge_of:
             load = hedging.Load(estimates, traffic, len(ready))
@@ -339,12 +334,7 @@
                 request, placement_problems.rate_limited, now
             )
         choice = replica_choice.choose(
-            msgspec.structs.replace(
-                self._eligible(
-                    request, allowed, limited, admission.crowding, now
-                ),
-                held_back=pool.held_back,
-            ),
+            self._eligible(request, allowed, limited, admission.crowding, now),
             estimates,
             traffic,
             request.prefix,
--- a/papayaloom/routing/limits/cold_choice.py
+++ b/papayaloom/routing/limits/cold_choice.py
@@ -63,20 +63,6 @@
         """Whether a replica may only get what permits allow."""
         return self._is_enabled and self.replicas.is_cold(replica, now)
 
-    def held_back(
-        self,
-        request: dispatch_messages.PlacementRequest,
-        candidates: list[replicas.Replica],
-        now: float,
-    ) -> int:
-        """Return how many replicas are cold, or ramped without the request."""
-        if not self._is_enabled or not self.replicas.has_warm_ups(
-            request.service
-        ):
-            return 0
-        split = self.replicas.split(candidates, request.prefix, now)
-        return len(split.ramping) + len(split.cold)
-
     def choose(
         self,
         request: dispatch_messages.PlacementRequest,
--- a/papayaloom/routing/replica_choice.py
+++ b/papayaloom/routing/replica_choice.py
@@ -69,7 +69,7 @@
 
     :param source: replica to copy the prefix cache from; None if not useful.
     :param estimate: estimated load of the chosen replica.
-    :param mean: mean load that the replicas have at least, likely.
+    :param mean: mean load that the candidates have at least, likely.
     :param bound: load up to which a replica with the prefix is preferred; 0 for
         a request without a prefix.
     :param preferred_per_s: arrivals per second at the other routers for which
@@ -118,8 +118,6 @@
     :param recently_started: replicas too new to have the prefix cached.
     :param limited: replicas that named a rate limit.
     :param crowding: how replicas are chosen while the service is overloaded.
-    :param held_back: number of further replicas of the service that hold little
-        or nothing; they count for its mean load.
     """
 
     candidates: typing.Sequence[replicas.Replica]
@@ -127,19 +125,6 @@
     recently_started: frozenset[str] = frozenset()
     limited: rate_shares.LimitedReplicas = {}
     crowding: Crowding = Crowding()
-    held_back: int = 0
-
-
-class Pool(msgspec.Struct, frozen=True):
-    """Replicas of a service, for one request.
-
-    :param serving: replicas that share the traffic.
-    :param held_back: number of replicas that get little or nothing, because
-        they are evacuated, cold, or back only for a part of the prefixes.
-    """
-
-    serving: list[replicas.Replica]
-    held_back: int
 
 
 def choose(
@@ -156,7 +141,7 @@
 
     :param prefix: name of the shared prefix, or empty.
     """
-    mean = _likely_mean(eligible, estimates, traffic)
+    mean = _likely_mean(eligible.candidates, estimates, traffic)
     if not prefix:
         chosen = _water_fill(eligible.candidates, estimates, traffic, rng)
         return Choice(chosen, estimates[chosen.id], mean=mean)
@@ -185,16 +170,16 @@
 
 
 def _likely_mean(
-    eligible: Eligible,
+    candidates: typing.Sequence[replicas.Replica],
     estimates: dict[str, load_estimates.LoadEstimate],
     traffic: Traffic,
 ) -> float:
-    """Return the mean load that the replicas have at least, likely.
+    """Return the mean load that the candidates have at least, likely.
 
     A replica that is kept at the bound exceeds it by every error of the mean, so
     the mean is taken one standard deviation low.
     """
-    known = [estimates[one.id] for one in eligible.candidates]
+    known = [estimates[one.id] for one in candidates]
     service_time_s = traffic.service_time_s
     arrivals_per_s = traffic.least_arrivals_per_s / len(traffic.serving)
     expected = sum(
@@ -205,7 +190,7 @@
         one.variance(service_time_s, arrivals_per_s) for one in known
     )
     likely = min(expected, reported) - math.sqrt(variance)
-    return max(likely, 0) / (len(known) + eligible.held_back)
+    return max(likely, 0) / len(known)
 
 
 def _copy_source(
