--- a/papayaloom/routing/overload/load_shedding.py
+++ b/papayaloom/routing/overload/load_shedding.py
@@ -197,8 +197,7 @@
         objective_s = self._objectives_s.get(demand.service, 0)
         max_wait_s = self._cfg.wait_share * objective_s
         use = self._occupancy(demand.service, load, load.candidates, max_wait_s)
-        # The ranks share the whole service, whichever replicas may get this
-        # request.
+        # The ranks share the whole service, not what this request may get.
         whole_use = use
         if len(load.serving) > len(load.candidates):
             whole_use = self._occupancy(
