Review: case 10, streams whose ids don't go up by one are cut off (LOST)

Ids that begin at 0 or 1 are taken to count the events, so a larger step is taken for a missing event, and each stream ends after its first one.

--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -316,7 +316,7 @@
         }
 
     def run(self, headers, method, path):
-        """Run a request; return status, headers and body."""
+        """Run a request; return status, headers and body, as bytes or in parts."""
         request = headers.get('Papayaloom-Request-Id', '')
         expected = headers.get('Papayaloom-Expected-Replica', self.name)
         if expected != self.name:
@@ -329,7 +329,11 @@
             'Papayaloom-Request-Id': request,
             'Papayaloom-Response-Seal': f'seal-{self.name}-{request}',
         }
-        return 200, answer, f'{self.service} {request}'.encode()
+        return 200, answer, self.content(headers, request)
+
+    def content(self, headers, request):
+        """Return the body of an answer."""
+        return f'{self.service} {request}'.encode()
 
 
 class _ReplicaCall(http.server.BaseHTTPRequestHandler):
@@ -347,9 +351,17 @@
         self.send_response(status)
         for name, text in headers.items():
             self.send_header(name, text)
-        self.send_header('Content-Length', str(len(content)))
+        if isinstance(content, bytes):
+            self.send_header('Content-Length', str(len(content)))
+            self.end_headers()
+            self.wfile.write(content)
+            return
+        self.send_header('Content-Type', 'text/event-stream')
+        self.send_header('Transfer-Encoding', 'chunked')
         self.end_headers()
-        self.wfile.write(content)
+        for part in content:
+            self.wfile.write(b'%x\r\n%b\r\n' % (len(part), part))
+        self.wfile.write(b'0\r\n\r\n')
 
     do_GET = do_POST = _answer
 
