--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -19,6 +19,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -615,6 +616,11 @@
         record.write(f'could not run: {exc}')
         print(f'could not run: {exc}', file=sys.stderr)
         code = 2
+    except Exception:
+        # An error of the case itself says nothing about the rule.
+        record.write(f'could not run: {traceback.format_exc()}')
+        traceback.print_exc()
+        code = 2
     else:
         code = 1 if is_broken else 0
     finally:
