A reset during the upload ends no answer

Cause: the kernel raises the error of a reset connection once. poll() reported such a connection as writable and readable, the write came first and took ECONNRESET, which was dropped in the belief that the replica might have answered before it closed. The next read returned the end of the data, which is a proper end of a body without a length. Bodies with a length or in chunks were refused already, since the parser missed their end.

Change: a connection that poll() reports as failed is read only, so that the read raises the error. If the reset comes between poll() and the write, the error of the write is kept and raised at the end of the data. A broken pipe is no such error: Linux raises it only when the end of the data had arrived before the reset, so answers that end with a proper close pass as before.

--- a/features/fake_engine.py
+++ b/features/fake_engine.py
@@ -23,13 +23,18 @@
 
     The script gets this engine, the connection, method, path, headers and
     body. It returns whether the connection stays open.
+
+    An engine that reads no bodies lets few bytes of them wait at its socket.
     """
 
-    def __init__(self, script):
+    def __init__(self, script, reads_bodies=True):
         self.script = script
         self.requests = []
         self.connections = 0
+        self._reads_bodies = reads_bodies
         self._listener = socket.create_server(('127.0.0.1', 0), backlog=64)
+        if not reads_bodies:
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.url = 'http://127.0.0.1:%d' % self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -63,7 +68,10 @@
                     while (line := reader.readline().strip()) != b'':
                         name, _, content = line.decode().partition(': ')
                         headers[name.lower()] = content
-                    body = reader.read(int(headers.get('content-length', 0)))
+                    body = b''
+                    if self._reads_bodies:
+                        length = int(headers.get('content-length', 0))
+                        body = reader.read(length)
                     self.requests.append((method, path, headers, body))
                     if not self.script(self, conn, method, path, headers, body):
                         return
--- a/features/forwarding_router.py
+++ b/features/forwarding_router.py
@@ -89,8 +89,8 @@
         content = desired(version, routes, **changes)
         assert self.twin.put('op/config', content, expect).done
 
-    def add_replica(self, script, slots=4):
-        engine = fake_engine.FakeEngine(script)
+    def add_replica(self, script, slots=4, **options):
+        engine = fake_engine.FakeEngine(script, **options)
         self.replicas.append(engine)
         self.list_replica(engine.url, slots)
 
@@ -152,10 +152,12 @@
     return answer
 
 
-def connect(router, method, path, key='k1', request='q-1', **extra):
+def connect(
+    router, method, path, key='k1', request='q-1', content=b'the body', **extra
+):
     host, port = router.addresses['callers']
     conn = http.client.HTTPConnection(host, port, timeout=10)
-    body = b'the body' if method == 'POST' else None
+    body = content if method == 'POST' else None
     conn.request(
         method,
         path,
--- a/features/one_router.py
+++ b/features/one_router.py
@@ -11,10 +11,10 @@
     return context.fleet
 
 
-def start(context, script):
+def start(context, script, limits=None, **options):
     """Start a router that knows the routes and one replica."""
-    fleet(context).write(7)
-    context.fleet.add_replica(script)
+    fleet(context).write(7, limits=limits)
+    context.fleet.add_replica(script, **options)
     context.router = context.fleet.start_router()
     wait_for_replicas(context)
 
@@ -40,6 +40,10 @@
     """Add a replica that gets the next request: the other one is busy."""
     context.fleet.add_replica(script)
     wait_for_replicas(context)
-    for name, running in (('i-1', 9), ('i-2', 0)):
-        load = header_dialect.Load(running=running, waiting=0, slots=4)
-        context.router.dispatch_client.record_load(name, load)
+    record_load(context, 'i-1', 9)
+    record_load(context, 'i-2', 0)
+
+
+def record_load(context, name, running):
+    load = header_dialect.Load(running=running, waiting=0, slots=4)
+    context.router.dispatch_client.record_load(name, load)
--- a/papayaloom/connection/upstream_connection.py
+++ b/papayaloom/connection/upstream_connection.py
@@ -27,7 +27,8 @@
 _USER_TIMEOUT_MS = 2500
 CALLER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _READ_WRITE_EVENTS = select.POLLIN | select.POLLOUT
-_READABLE_EVENTS = select.POLLIN | select.POLLHUP | select.POLLERR
+_FAILED_EVENTS = select.POLLHUP | select.POLLERR
+_READABLE_EVENTS = select.POLLIN | _FAILED_EVENTS
 
 Event = h11.Response | h11.Data | h11.EndOfMessage
 
@@ -81,6 +82,8 @@
         self._informational_responses = 0
         self._parser = self._new_parser()
         self._unsent_bytes = b''
+        # The connection broke, and the error was raised by a write.
+        self._write_error: OSError | None = None
         # What was read before it was asked for.
         self._ahead: collections.deque[Event | errors.UpstreamError] = (
             collections.deque()
@@ -265,7 +268,8 @@
         self._handle_io(ready.get(self._sock.fileno(), 0))
 
     def _handle_io(self, ready_events: int) -> None:
-        if ready_events & select.POLLOUT:
+        # The error of a broken connection is left to be raised by a read.
+        if ready_events & select.POLLOUT and not ready_events & _FAILED_EVENTS:
             self._write()
         if ready_events & _READABLE_EVENTS:
             self._read()
@@ -276,13 +280,16 @@
         except BlockingIOError:
             return
         except OSError as exc:
-            # The upstream may have responded before it closed the connection.
             self._unsent_bytes = b''
             if not self.has_sent:
                 raise errors.UpstreamError(
                     f'upstream closed before the request was sent: {exc}',
                     errors.Verdict.NOT_RUN,
                 ) from exc
+            # The upstream may have responded before it closed the connection.
+            # A broken pipe means that the end of the response has arrived.
+            if not isinstance(exc, BrokenPipeError):
+                self._write_error = exc
             return
         self.has_sent = self.has_sent or sent > 0
         self._unsent_bytes = self._unsent_bytes[sent:]
@@ -294,6 +301,9 @@
             return
         except OSError as exc:
             raise self._upstream_error(f'reset: {exc}') from exc
+        if not content and self._write_error is not None:
+            # An error is raised once; later reads return the end of the data.
+            raise self._upstream_error(f'reset: {self._write_error}')
         self._charge(len(content))
         self._parser.receive_data(content)
 
