The clients of urllib3 read responses with the strict parser

Its head ends at the first line that is no field, so that Content-Length and Transfer-Encoding behind it are lost and the body is what comes until the connection ends. It also accepts +200, 0200 and 2_00, lengths with signs, several lengths, unknown codings, malformed chunks and trailers; it takes 103 for the final answer, so that the real one was the answer to the next request; it dropped bytes behind an answer and used the connection again.

Change: connection/client_connection.py has a response of its own for urllib3, which passes what it receives to message_parser, the parser of the gateway. What one reader refuses, the others refuse now. The attempt fails as before with "may have run" and goes elsewhere if it may be repeated.

The gateway refused all forms already, 000 among them, and http.client refused 000; the tests stay.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -75,3 +75,74 @@
       | resets            | the copy of a request | broken |
       | closes and resets | an attempt            | whole  |
       | closes and resets | the copy of a request | whole  |
+
+  # Guards against MIXED: a head was taken to end at a malformed line, and the body for one that ends with its connection.
+  Scenario Outline: A malformed answer is read as a sound one
+    When <reader> reads each malformed answer
+    Then each of them is an error that says "may have run"
+
+    Examples:
+      | reader                  |
+      | a call to a service     |
+      | a call to an engine     |
+      | a stream of an engine   |
+      | a call to the store     |
+      | a call to another host  |
+
+  Scenario Outline: A sound answer is read although it is odd
+    When <reader> reads each odd but sound answer
+    Then each of them is the whole one
+
+    Examples:
+      | reader                  |
+      | a call to a service     |
+      | a call to an engine     |
+      | a stream of an engine   |
+      | a call to the store     |
+      | a call to another host  |
+
+  Scenario: Odd but sound answers are passed on
+    Given a forwarding router whose replica sends each odd but sound answer
+    When for each of these a caller sends "POST" to "/orders/x"
+    Then each caller gets the whole one
+
+  # Guards against MIXED: an answer that breaks off at a place that no example names.
+  Scenario Outline: An answer is cut off at any byte
+    When <reader> reads an answer with <framing> that is cut off at each byte by <end>
+    Then it reads the whole one where it got all of it, and an error elsewhere
+
+    Examples:
+      | reader                 | framing   | end            |
+      | a forwarded request    | a length  | a proper close |
+      | a forwarded request    | a length  | a reset        |
+      | a forwarded request    | chunks    | a proper close |
+      | a forwarded request    | chunks    | a reset        |
+      | a forwarded request    | no length | a reset        |
+      | a call to a service    | a length  | a proper close |
+      | a call to a service    | a length  | a reset        |
+      | a call to a service    | chunks    | a proper close |
+      | a call to a service    | chunks    | a reset        |
+      | a call to a service    | no length | a reset        |
+      | a stream of an engine  | a length  | a proper close |
+      | a stream of an engine  | chunks    | a proper close |
+      | a call to the store    | a length  | a proper close |
+      | a call to the store    | chunks    | a proper close |
+
+  # Guards against MIXED: the rest of bytes that belong to no request was taken for the next answer.
+  Scenario: A connection is used again although bytes follow the answer
+    When a call to a service is answered, and half of another answer follows at once
+    Then the next call goes over another connection
+
+  Scenario: A malformed answer of one replica sends a call that may be repeated to another
+    Given a replica that answers with a blank in the name of a field
+    And a replica that works
+    When a caller sends a call that may be repeated
+    Then the caller gets status 200 and the verdict "ran"
+    And the replicas received 2 calls
+
+  Scenario: A malformed answer to a call that must not be repeated says that it may have run
+    Given a replica that answers with a blank in the name of a field
+    And a replica that works
+    When a caller sends a call that must not be repeated
+    Then the caller gets status 502 and the verdict "may have run"
+    And the replicas received 1 call
--- a/features/malformed_messages.py
+++ b/features/malformed_messages.py
@@ -108,14 +108,14 @@
     """Return a script of a replica that sends a response as given."""
 
     def script(engine, conn, method, path, asked, body):
-        request = asked['papayaloom-request-id']
+        request = asked.get('papayaloom-request-id', '')
         lines = [
             line,
             f'Papayaloom-Request-Id: {request}',
             'Papayaloom-Response-Seal: seal-1',
             *fields,
         ]
-        conn.sendall('\r\n'.join([*lines, '', '']).encode() + content)
+        conn.sendall('\r\n'.join([*lines, '', '']).encode('latin-1') + content)
         return True
 
     return script
@@ -141,6 +141,50 @@
     'a folded field': answering(_LENGTH, 'X-A: b\r\n c'),
     'a control character': answering(_LENGTH, 'X-A: \x01'),
     'a status out of range': answering(_LENGTH, line='HTTP/1.1 999 OK'),
+    'the status 000': answering(_LENGTH, line='HTTP/1.1 000 OK'),
+    'the status 099': answering(_LENGTH, line='HTTP/1.1 099 OK'),
+    'a status with a sign': answering(_LENGTH, line='HTTP/1.1 +200 OK'),
+    'a status with an underscore': answering(_LENGTH, line='HTTP/1.1 2_00 OK'),
+    'a status of four digits': answering(_LENGTH, line='HTTP/1.1 0200 OK'),
+    'two spaces': answering(_LENGTH, line='HTTP/1.1  200 OK'),
+    'a long version': answering(_LENGTH, line='HTTP/1.10 200 OK'),
+    'another protocol': answering(_LENGTH, line='ICY/1.1 200 OK'),
+    'a switch of the protocol': answering(
+        _LENGTH, line='HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK'
+    ),
+    'a blank in a name': answering('X A: b', _LENGTH),
+    'a blank behind a name': answering('X-A : b', _LENGTH),
+    'a tab in a name': answering('X\tA: b', _LENGTH),
+    'a control byte in a name': answering('X\x01A: b', _LENGTH),
+    'a delete character in a name': answering('X\x7fA: b', _LENGTH),
+    'a byte above 127 in a name': answering('X\u00e9A: b', _LENGTH),
+    'no name': answering(': b', _LENGTH),
+    'no colon': answering('X-A', _LENGTH),
+    'a blank before the first name': answering(
+        _LENGTH, line='HTTP/1.1 200 OK\r\n X-A: b'
+    ),
+    'a length with a sign': answering('Content-Length: +10'),
+    'a negative length': answering('Content-Length: -10'),
+    'an empty length': answering('Content-Length:'),
+    'a length that is no number': answering('Content-Length: ten'),
+    'a length of 5000 digits': answering('Content-Length: ' + '1' * 5000),
+    'another coding': answering('Transfer-Encoding: identity'),
+    'two codings': answering('Transfer-Encoding: gzip, chunked'),
+    'a coding of HTTP/1.0': answering(
+        _CODING, line='HTTP/1.0 200 OK', content=_CHUNK + b'0\r\n\r\n'
+    ),
+    'a chunk size with a sign': answering(
+        _CODING, content=b'+a\r\nwhole body\r\n0\r\n\r\n'
+    ),
+    'a chunk size with a prefix': answering(
+        _CODING, content=b'0xa\r\nwhole body\r\n0\r\n\r\n'
+    ),
+    'a negative chunk size': answering(
+        _CODING, content=b'-a\r\nwhole body\r\n0\r\n\r\n'
+    ),
+    'a chunk without its end': answering(
+        _CODING, content=b'a\r\nwhole bodyXX0\r\n\r\n'
+    ),
     'a chunk size with a space': answering(
         _CODING, content=b'a \r\nwhole body\r\n0\r\n\r\n'
     ),
@@ -151,3 +195,17 @@
         _CODING, content=_CHUNK + b'0\r\nX-A\r\n\r\n'
     ),
 }
+# Of one exchange, in which no other request can be meant.
+OF_GATEWAYS_ONLY = frozenset(('two ids', 'another id first', 'two seals'))
+SOUND_ANSWERS = {
+    'no reason': answering(_LENGTH, line='HTTP/1.1 200'),
+    'early hints': answering(
+        _LENGTH, line='HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK'
+    ),
+    'a chunk extension and a trailer': answering(
+        _CODING, content=b'a;b="c"\r\nwhole body\r\n0\r\nX-A: b\r\n\r\n'
+    ),
+    'an empty field': answering(_LENGTH, 'X-A:'),
+    'bytes above 127 in a value': answering(_LENGTH, 'X-A: \u00e9'),
+    'odd but allowed bytes in a name': answering(_LENGTH, "!#$%&'*+-.^_`|~: b"),
+}
--- a/features/steps/calls_steps.py
+++ b/features/steps/calls_steps.py
@@ -37,12 +37,18 @@
     return False
 
 
+def malformed(engine, conn, method, path, headers, body):
+    conn.sendall(b'HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\n{}')
+    return False
+
+
 @behave.given('a replica that {behaviour}')
 def a_replica(context, behaviour):
     scripts = {
         'works': works,
         'breaks the connection after the request': lambda *_: False,
         'stops in the middle of its head': half_head,
+        'answers with a blank in the name of a field': malformed,
         'does not listen': None,
         'refuses with "not run"': fake_engine.problem('503 Busy', 'not run'),
     }
--- a/papayaloom/connection/client_connection.py
+++ b/papayaloom/connection/client_connection.py
@@ -1,94 +1,198 @@
-"""Client connections that accept only complete responses of bounded size.
+"""Connections of urllib3 whose responses are parsed strictly.
 
-:mod:`http.client` takes the end of the connection for the end of the headers
-and of the trailers, and it reads informational responses, trailers and bodies
-for as long as the server sends them.
+:mod:`http.client` takes a malformed field line for the end of the head, and the
+end of the connection for the end of the head or of the trailers; it accepts
+numbers with signs, unequal body lengths and malformed chunks. Here the parser
+of the responses to forwarded requests reads the head and finds the end of the
+body: :mod:`papayaloom.connection.message_parser`.
 """
 
+import contextlib
 import http.client
+import io
+import socket
 import typing
 
+import h11
 import urllib3
 
-# Status lines and headers, those of informational responses included.
+from papayaloom.connection import message_parser, response_limits
+
+# Status line and headers of one response.
 MAX_HEAD_BYTES = 131_072
 # Body of a response that is read as a whole.
 MAX_BODY_BYTES = 33_554_432
-_MAX_TRAILERS = 100
-_MAX_LINE_BYTES = 65_536
-_EMPTY_LINES = frozenset((b'\r\n', b'\n'))
-
+_READ_BYTES = 262_144
+_HTTP10 = b'1.0'
+_CHARSET = 'latin-1'
 
-class _HeadReader:
-    """Reader that counts bytes and keeps the last line; passes all else on."""
 
-    def __init__(self, source: typing.Any) -> None:
-        """Wrap a reader."""
-        self.source = source
-        self.last_line = b''
-        self._bytes_left = MAX_HEAD_BYTES
+class BrokenResponseError(http.client.HTTPException):
+    """A response that is malformed, incomplete or too long."""
 
-    def __getattr__(self, name: str) -> typing.Any:
-        """Return an attribute of the wrapped reader."""
-        return getattr(self.source, name)
 
-    def readline(self, limit: int = -1) -> bytes:
-        """Read a line.
+class Response(io.BufferedIOBase):
+    """Response that must be well-formed, complete and within the limits.
 
-        :raises http.client.HTTPException: the head is too long.
-        """
-        self.last_line = self.source.readline(limit)
-        self._bytes_left -= len(self.last_line)
-        if self._bytes_left < 0:
-            raise http.client.HTTPException('the head is too long')
-        return self.last_line
+    It takes the place of :class:`http.client.HTTPResponse`, with the attributes
+    that urllib3 reads.
 
+    :param sock: socket on which the request has been sent.
+    :param method: method of the request.
+    """
 
-class Response(http.client.HTTPResponse):
-    """Response that must be complete and within the limits."""
+    def __init__(self, sock: socket.socket, method: str) -> None:
+        """Expect the head."""
+        self.status = 0
+        self.reason = ''
+        # As in http.client: 10 or 11.
+        self.version = 11
+        self.msg = http.client.HTTPMessage()
+        self.will_close = True
+        self._sock = sock
+        # Keeps the socket open when the connection closes its own reference.
+        self._socket_reference = sock.makefile('rb', buffering=0)
+        self._parser = message_parser.response_parser(MAX_HEAD_BYTES)
+        self._parser.expect_response(method.encode(_CHARSET))
+        # What has been received and parsed, but not read.
+        self._content = b''
+        self._error: BrokenResponseError | None = None
 
     def begin(self) -> None:
         """Read the head.
 
-        :raises http.client.HTTPException: the head is malformed, incomplete or
-            too long.
+        :raises BrokenResponseError: it is malformed, incomplete or too long.
+        """
+        event = self._receive_event()
+        informational_responses = 0
+        while isinstance(event, h11.InformationalResponse):
+            informational_responses += 1
+            if (
+                informational_responses
+                > response_limits.DEFAULT.informational_responses
+            ):
+                raise BrokenResponseError('informational heads without end')
+            event = self._receive_event()
+        if not isinstance(event, h11.Response):
+            raise BrokenResponseError('the connection was closed')
+        self.status = event.status_code
+        self.reason = event.reason.decode(_CHARSET)
+        if event.http_version == _HTTP10:
+            self.version = 10
+        for name, text in event.headers.raw_items():
+            self.msg[name.decode(_CHARSET)] = text.decode(_CHARSET)
+        self.will_close = self._parser.is_last_message
+
+    def isclosed(self) -> bool:
+        """Return whether the body has been read, or the response closed."""
+        return self._socket_reference.closed
+
+    def close(self) -> None:
+        """Release the socket."""
+        self._socket_reference.close()
+        super().close()
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def fileno(self) -> int:
+        """Return the file descriptor of the socket."""
+        return self._socket_reference.fileno()
+
+    def read(self, size: int | None = -1) -> bytes:
+        """Return bytes of the body, fewer than ``size`` only at its end.
+
+        :param size: None or -1 for the whole body, up to
+            :data:`MAX_BODY_BYTES`.
+        :raises BrokenResponseError: the body is malformed, incomplete or too
+            long.
         """
-        reader = _HeadReader(self.fp)
-        self.fp = typing.cast('typing.Any', reader)
-        super().begin()
-        if typing.cast('typing.Any', self.fp) is reader:
-            self.fp = reader.source
-        if reader.last_line not in _EMPTY_LINES:
-            raise http.client.HTTPException('the head of the answer is cut off')
-
-    def read(self, amt: int | None = None) -> bytes:
-        """Read part of the body, or all of it.
-
-        :raises http.client.HTTPException: the body is incomplete or too long.
+        if size is None or size < 0:
+            content = self._read_up_to(MAX_BODY_BYTES + 1)
+            if len(content) > MAX_BODY_BYTES:
+                raise BrokenResponseError('the body is too long')
+            return content
+        return self._read_up_to(size)
+
+    def read1(self, size: int = -1) -> bytes:
+        """Return the next bytes of the body, empty at its end.
+
+        Raises like :meth:`read`.
         """
-        if amt is not None:
-            return super().read(amt)
-        if self.length is not None:
-            _check_body_length(self.length)
-            return super().read()
-        content = super().read(MAX_BODY_BYTES + 1)
-        _check_body_length(len(content))
+        if not self._content and not self.isclosed():
+            self._receive_content()
+        content = self._content
+        self._content = b''
+        if 0 <= size < len(content):
+            self._content = content[size:]
+            return content[:size]
+        if not self.isclosed():
+            self._parse_content()
         return content
 
-    def _read_and_discard_trailer(self) -> None:
-        for _ in range(_MAX_TRAILERS):
-            line = self.fp.readline(_MAX_LINE_BYTES)
-            if line in _EMPTY_LINES:
-                return
-            if not line.endswith(b'\n'):
+    def _read_up_to(self, size: int) -> bytes:
+        parts: list[bytes] = []
+        while size > 0:
+            part = self.read1(size)
+            if not part:
                 break
-        raise http.client.HTTPException('the trailers do not end')
+            parts.append(part)
+            size -= len(part)
+        return b''.join(parts)
+
+    def _receive_content(self) -> None:
+        """Wait until there is content, or the end of the body."""
+        self._parse_content()
+        while not self._content and not self.isclosed():
+            if self._error is not None:
+                raise self._error
+            self._receive()
+            self._parse_content()
+
+    def _parse_content(self) -> None:
+        """Parse what has been received, up to one part of the body.
+
+        An error is raised only when what precedes it has been read.
+        """
+        try:
+            event = self._parse_event()
+        except BrokenResponseError as exc:
+            self._error = exc
+            return
+        if isinstance(event, h11.Data):
+            self._content = bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            self._end()
+
+    def _end(self) -> None:
+        if self._parser.trailing_bytes:
+            # They belong to no request, so the connection must not be reused.
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
+        self.close()
+
+    def _receive_event(self) -> message_parser.Event:
+        event = self._parse_event()
+        while event is h11.NEED_DATA:
+            self._receive()
+            event = self._parse_event()
+        return event
+
+    def _parse_event(self) -> message_parser.Event:
+        try:
+            return self._parser.next_event()
+        except message_parser.MalformedMessageError as exc:
+            raise BrokenResponseError(str(exc)) from exc
+
+    def _receive(self) -> None:
+        self._parser.receive_data(self._sock.recv(_READ_BYTES))
 
 
 class Connection(urllib3.connection.HTTPConnection):
     """Connection of urllib3 for :class:`Response`."""
 
-    response_class = Response
+    response_class = typing.cast('typing.Any', Response)
 
 
 class _Pool(urllib3.HTTPConnectionPool):
@@ -103,8 +207,3 @@
     manager = urllib3.PoolManager(retries=False, **options)
     manager.pool_classes_by_scheme = {'http': _Pool}
     return manager
-
-
-def _check_body_length(length: int) -> None:
-    if length > MAX_BODY_BYTES:
-        raise http.client.HTTPException('the body is too long')
--- a/papayaloom/connection/message_parser.py
+++ b/papayaloom/connection/message_parser.py
@@ -23,6 +23,7 @@
 _LINE_END = b'\r\n'
 _HTTP11 = b'1.1'
 _MAX_STATUS = 599
+_ANY_HOST = (b'Host', b'upstream')
 
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
@@ -75,6 +76,18 @@
         """Whether the peer has closed the connection."""
         return self._is_closed
 
+    @property
+    def is_last_message(self) -> bool:
+        """Whether the head that was received announces the last message."""
+        return self._parser.our_state is h11.MUST_CLOSE
+
+    def expect_response(self, method: bytes) -> None:
+        """Expect the response to a request that was sent by other means."""
+        self._parser.send(
+            h11.Request(method=method, target=b'/', headers=[_ANY_HOST])
+        )
+        self._parser.send(h11.EndOfMessage())
+
     def send(self, event: h11.Event) -> bytes:
         """Return the bytes of an event that is sent to the peer."""
         return self._parser.send(event) or b''
--- a/papayaloom/connection/upstream_connection.py
+++ b/papayaloom/connection/upstream_connection.py
@@ -149,11 +149,7 @@
         trailing_bytes = self._parser.trailing_bytes
         is_closed = self._parser.is_closed
         self._parser = self._new_parser()
-        host = [(b'Host', b'upstream')]
-        self._parser.send(
-            h11.Request(method=head.method, target=head.target, headers=host)
-        )
-        self._parser.send(h11.EndOfMessage())
+        self._parser.expect_response(head.method)
         if trailing_bytes or is_closed:
             self._parser.receive_data(trailing_bytes)
 
