A response is closed only when its end has been asked for

Change: the end is parsed when it is read, or when the response is closed; closing one that is incomplete, or has bytes behind it, shuts its socket down.

--- a/papayaloom/connection/client_connection.py
+++ b/papayaloom/connection/client_connection.py
@@ -57,6 +57,7 @@
         # What has been received and parsed, but not read.
         self._content = b''
         self._error: BrokenResponseError | None = None
+        self._is_complete = False
 
     def begin(self) -> None:
         """Read the head.
@@ -88,7 +89,15 @@
         return self._socket_reference.closed
 
     def close(self) -> None:
-        """Release the socket."""
+        """Release the socket; shut it down unless it can be used again."""
+        if self.isclosed():
+            return
+        if not self._content:
+            self._parse_content()
+        if not self._is_complete or self._parser.trailing_bytes:
+            # What is left belongs to no later request.
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
         self._socket_reference.close()
         super().close()
 
@@ -127,8 +136,6 @@
         if 0 <= size < len(content):
             self._content = content[size:]
             return content[:size]
-        if not self.isclosed():
-            self._parse_content()
         return content
 
     def _read_up_to(self, size: int) -> bytes:
@@ -144,17 +151,18 @@
     def _receive_content(self) -> None:
         """Wait until there is content, or the end of the body."""
         self._parse_content()
-        while not self._content and not self.isclosed():
+        while not (self._content or self._is_complete):
             if self._error is not None:
                 raise self._error
             self._receive()
             self._parse_content()
+        if self._is_complete:
+            self.close()
 
     def _parse_content(self) -> None:
-        """Parse what has been received, up to one part of the body.
-
-        An error is raised only when what precedes it has been read.
-        """
+        """Parse what has been received, up to one part of the body."""
+        if self._is_complete or self._error is not None:
+            return
         try:
             event = self._parse_event()
         except BrokenResponseError as exc:
@@ -162,15 +170,7 @@
             return
         if isinstance(event, h11.Data):
             self._content = bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            self._end()
-
-    def _end(self) -> None:
-        if self._parser.trailing_bytes:
-            # They belong to no request, so the connection must not be reused.
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_RDWR)
-        self.close()
+        self._is_complete = isinstance(event, h11.EndOfMessage)
 
     def _receive_event(self) -> message_parser.Event:
         event = self._parse_event()
