--- a/papayaloom/connection/client_connection.py
+++ b/papayaloom/connection/client_connection.py
@@ -165,8 +165,8 @@
             return
         try:
             event = self._parse_event()
-        except BrokenResponseError as exc:
-            self._error = exc
+        except BrokenResponseError:
+            # Raised when what precedes the malformed part has been read.
             return
         if isinstance(event, h11.Data):
             self._content = bytes(event.data)
@@ -183,7 +183,8 @@
         try:
             return self._parser.next_event()
         except message_parser.MalformedMessageError as exc:
-            raise BrokenResponseError(str(exc)) from exc
+            self._error = BrokenResponseError(str(exc))
+            raise self._error from exc
 
     def _receive(self) -> None:
         self._parser.receive_data(self._sock.recv(_READ_BYTES))
