A response of another version than HTTP/1.0 or 1.1 is refused

Callers got answers whose status line named HTTP/2.0, HTTP/0.9 or HTTP/1.7: h11 takes any two digits, and reads what follows as HTTP/1.x (http.client refused 2.0 and took 0.9 and 1.7). What one reader refuses, the others refuse.

Change: message_parser checks the version of a response, as it did that of a request.

Evidence: the three forms stand in the list of malformed answers.

--- a/features/malformed_messages.py
+++ b/features/malformed_messages.py
@@ -148,6 +148,9 @@
     'a status of four digits': answering(_LENGTH, line='HTTP/1.1 0200 OK'),
     'two spaces': answering(_LENGTH, line='HTTP/1.1  200 OK'),
     'a long version': answering(_LENGTH, line='HTTP/1.10 200 OK'),
+    'the version 2.0': answering(_LENGTH, line='HTTP/2.0 200 OK'),
+    'the version 0.9': answering(_LENGTH, line='HTTP/0.9 200 OK'),
+    'the version 1.7': answering(_LENGTH, line='HTTP/1.7 200 OK'),
     'another protocol': answering(_LENGTH, line='ICY/1.1 200 OK'),
     'a switch of the protocol': answering(
         _LENGTH, line='HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK'
--- a/papayaloom/connection/message_parser.py
+++ b/papayaloom/connection/message_parser.py
@@ -22,6 +22,7 @@
 _HEAD_END = b'\r\n\r\n'
 _LINE_END = b'\r\n'
 _HTTP11 = b'1.1'
+_VERSIONS = frozenset((b'1.0', _HTTP11))
 _MAX_STATUS = 599
 _ANY_HOST = (b'Host', b'upstream')
 
@@ -180,8 +181,8 @@
             )
         if isinstance(event, h11.Request):
             _check_request(event)
-        elif event.status_code > _MAX_STATUS:
-            raise MalformedMessageError('the status code is out of range')
+        else:
+            _check_response(event)
         if not isinstance(event, h11.InformationalResponse):
             self._is_in_head = False
             if is_chunked:
@@ -236,3 +237,12 @@
     for name, host in request.headers:
         if name == b'host' and not request_target.is_host(host):
             raise MalformedMessageError('Host is malformed')
+
+
+def _check_response(
+    response: h11.Response | h11.InformationalResponse,
+) -> None:
+    if response.http_version not in _VERSIONS:
+        raise MalformedMessageError('the version is not HTTP/1.0 or HTTP/1.1')
+    if response.status_code > _MAX_STATUS:
+        raise MalformedMessageError('the status code is out of range')
