Streams: ids that increase are a gap only after two steps by one

Cause: EventJoiner took ids to count the events as soon as they began at 0 or 1, or one step was by one.

Change: ids are taken to count the events after two steps by one from the start (event_numbering). A larger step is then still refused. If another replica, asked to go on after the same event, begins with the same id, the numbering is confirmed and the stream goes on. A service that has confirmed one, or shown three larger steps in one stream, has its ids taken as increasing from then on.

Why it works: ids show a missing event only where they count, and one step by one is what a first token by itself looks like (0, 1, 8, 15).

Tests: event_ids.feature (32 scenarios). Three rows of upstream_trouble.feature were wrong: 1, 3 is a fixed step from 1; 0, 1, 3 and 5, 6, 9 are offsets as well as counts with a gap, and a count shows no sooner than with its second step. Each is replaced by a row with one step more, which is refused (0 1 2 4, 1 2 3 5 6, 5 6 7 10); the three sequences stay in the table as whole streams.

The features forwarding, hedging, gateway, bounded_memory, unbounded_responses and upstream_trouble pass.

--- a/features/hostile_replica.py
+++ b/features/hostile_replica.py
@@ -173,22 +173,39 @@
     return script
 
 
-def numbered(numbers):
+def numbered(numbers, how='one by one', stops_within=None):
     """Return a script that streams events with these ids, or a part of them."""
 
     def script(engine, conn, method, path, asked, body):
         after = int(asked.get('last-event-id') or -1)
+        sent = [
+            b'id: %d\ndata: event %d\n\n' % (number, number)
+            for number in numbers
+            if number > after and number != stops_within
+        ]
         conn.sendall(own_head(asked))
-        for number in numbers:
-            if number > after:
-                event = b'id: %d\ndata: event %d\n\n' % (number, number)
-                conn.sendall(fleets.chunk(event))
+        if stops_within is not None:
+            whole = numbers.index(stops_within)
+            conn.sendall(fleets.chunk(b''.join([*sent[:whole], b'id: 9'])))
+            return False
+        for piece in _pieces(sent, how):
+            conn.sendall(fleets.chunk(piece))
         conn.sendall(b'0\r\n\r\n')
         return True
 
     return script
 
 
+def _pieces(events, how):
+    """Return the chunks in which events are sent."""
+    whole = b''.join(events)
+    if how == 'at once':
+        return [whole]
+    if how == 'in pieces of 5 bytes':
+        return [whole[at : at + 5] for at in range(0, len(whole), 5)]
+    return events
+
+
 def malformed_chunk(number):
     """Return a script that streams events, then a malformed chunk at once."""
 
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -9,7 +9,7 @@
 import behave
 
 from features import forwarding_router as fleets
-from features import one_router
+from features import hostile_replica, one_router
 from papayaloom import errors, ids
 from papayaloom.platform import settings
 from papayaloom.process import hedged_exchange
@@ -20,6 +20,7 @@
 
 SERVICE = ids.ServiceId('models')
 SUSPECT = ids.Fingerprint('suspect')
+OFFSETS = (0, 7, 14, 21)
 ADDRESSES = ('listen.front', 'listen.ready', 'listen.directory')
 FIELDS = {
     'nodeName': 'front-1',
@@ -311,6 +312,7 @@
     'copy 1': copy_of(1),
     'copy 2': copy_of(2),
     'a stream': fleets.stream(5),
+    'a stream with offsets': hostile_replica.numbered(OFFSETS),
     'a refusal': refusal,
     'an error': fleets.fail,
     'a reset': broken,
@@ -319,6 +321,10 @@
     'copy 1': (200, b'copy 1'),
     'copy 2': (200, b'copy 2'),
     'all events': (200, fleets.events(1, 5)),
+    'all offsets': (
+        200,
+        b''.join(b'id: %d\ndata: event %d\n\n' % (one, one) for one in OFFSETS),
+    ),
 }
 
 
--- a/features/upstream_trouble.feature
+++ b/features/upstream_trouble.feature
@@ -179,9 +179,12 @@
       | ids        | part |
       | 7 14 21 30 | all  |
       | 100 200    | all  |
-      | 0 1 3      | 2    |
-      | 1 3        | 1    |
-      | 5 6 9      | 2    |
+      | 0 1 2 4    | 3    |
+      | 1 2 3 5 6  | 3    |
+      | 5 6 7 10   | 3    |
+      | 0 1 3      | all  |
+      | 1 3        | all  |
+      | 5 6 9      | all  |
       | 3 5 6      | all  |
 
   # Guards against a stream that is always cut: ids of 19 digits were taken for none.
--- a/papayaloom/process/forward_log.py
+++ b/papayaloom/process/forward_log.py
@@ -75,6 +75,17 @@
     )
 
 
+def ids_increase(job: forward_job.Job) -> None:
+    """Log that the event ids of a service are shown not to count its events."""
+    _log.info(
+        'forward: event ids of a service do not count its events',
+        service=job.service,
+        request=job.request_info.request_id,
+        route=job.route.name,
+        last_event=job.joiner.last,
+    )
+
+
 def _suspect_parts(
     job: forward_job.Job, failure: forward_job.Failure
 ) -> tuple[str, ...]:
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -10,7 +10,7 @@
 import msgspec
 import result
 
-from papayaloom import errors
+from papayaloom import errors, ids
 from papayaloom.connection import (
     buffer_budget,
     idle_pool,
@@ -37,7 +37,7 @@
 )
 from papayaloom.routing.overload import hedging, rank_admission
 from papayaloom.routing.poison import poison_evidence
-from papayaloom.request import forwarding, header_dialect
+from papayaloom.request import event_numbering, forwarding, header_dialect
 
 _SERVER_ERROR = 500
 # How often a retry after an unbounded response is tried again, and for how long
@@ -76,6 +76,8 @@
     def __init__(self, deps: Dependencies) -> None:
         """Use the given components."""
         self._deps = deps
+        # Services whose event ids are shown not to count the events.
+        self._increasing: set[ids.ServiceId] = set()
         self._copy_steps = hedged_exchange.CopySteps(
             self._place,
             self._connect,
@@ -104,12 +106,23 @@
         :raises upstream_connection.CallerDisconnectedError: the caller
             disconnected.
         """
+        if job.service in self._increasing:
+            job.joiner.steps = event_numbering.IdSteps(
+                event_numbering.Numbering.INCREASES
+            )
         try:
             return self._forward(job)
         finally:
+            self._learn_numbering(job)
             for buffer in job.buffers:
                 buffer.release()
 
+    def _learn_numbering(self, job: forward_job.Job) -> None:
+        is_known = job.service in self._increasing
+        if job.joiner.steps.proves_increase and not is_known:
+            self._increasing.add(job.service)
+            forward_log.ids_increase(job)
+
     def _forward(self, job: forward_job.Job) -> int:
         while True:
             placement = self._place_patiently(job)
--- a/papayaloom/request/event_joiner.py
+++ b/papayaloom/request/event_joiner.py
@@ -5,11 +5,11 @@
 import msgspec
 
 from papayaloom import decoding
+from papayaloom.request import event_numbering
 
 MAX_EVENT_BYTES = 262_144
 # Enough for 64 bits, so for times in nanoseconds.
 _MAX_ID_DIGITS = 20
-_FIRST_COUNTED = frozenset((0, 1))
 _EVENT_TERMINATOR = re.compile(rb'\n\n|\r\n\r\n')
 
 
@@ -40,8 +40,7 @@
     """Joins the event streams that together answer one request.
 
     Ids increase. Where they count the events, a gap means that one is missing;
-    they are taken to do so once they begin at 0 or 1, or two of them are
-    consecutive.
+    :mod:`papayaloom.request.event_numbering` judges whether they do.
 
     Only complete events are returned, so that a stream that breaks within an
     event can be resumed at another replica without a partial or duplicate
@@ -50,6 +49,8 @@
     ``progress`` counts new events, excluding comments, which replicas send as
     keep-alives.
 
+    ``steps`` are those between the ids of the events.
+
     :param last: id of the last event already delivered to the caller.
     """
 
@@ -57,7 +58,7 @@
         """Start after the last delivered event."""
         self.last = last
         self.progress = 0
-        self._counts_events: bool | None = None
+        self.steps = event_numbering.IdSteps()
         self._buffer = b''
 
     @property
@@ -73,6 +74,7 @@
     def restart(self) -> None:
         """Drop an incomplete event, for a stream of another replica."""
         self._buffer = b''
+        self.steps.restart()
 
     def feed(self, chunk: bytes) -> Joined:
         """Add received bytes and return the complete new events.
@@ -119,14 +121,7 @@
         return ''
 
     def _may_follow(self, number: int) -> bool:
-        if self.last is None:
-            if number in _FIRST_COUNTED:
-                self._counts_events = True
-            return True
-        is_next = number == self.last + 1
-        if self._counts_events is None:
-            self._counts_events = is_next
-        return is_next or not self._counts_events
+        return self.last is None or self.steps.take(self.last, number)
 
     def _length_problem(self, start: int) -> str:
         if len(self._buffer) - start > MAX_EVENT_BYTES:
