Store: a cut watch is no outage, nor are calls that fail shortly

Cause: Feed took each failed call for an outage and told Lapses, which then doubted each removal until 2.2 s after the next answer. The answer that told of the removal was itself applied before it counted as an answer. Beside it a relay whose watch was cut sent the other hosts away, and these avoided it for a second.

Change: an outage is a time without an answer in which a live holder could not renew its lease until it expired. Two reports, 1.2 s apart, have to be missing, of which a host behind relays may notice 1.2 s less; so calls that fail for less than 1.0 s are none (replicas.Cfg.min_outage_s). The time counts from the last answer, or from the cut. A cut watch alone is not a failure at all: the store is checked at once by a watch that does not wait, and only if that fails the cut was one. An answer counts before its content is applied. The entries of hosts, whose leases are shorter, are doubted after any failure as before, but not after a cut.

Why it works: the check follows within 0.1 s, so a removal is heard as without the cut and is not doubted; an outage that lets an entry lapse still is one at each host.

The stubs of Health take the time of a failure now; steps that set the age of an answer call _record_informed, which it went to.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -44,6 +44,16 @@
     And a host that is no relay watches
     Then it learns that neither relay nor store answers
 
+  # Guards against DRAIN: a relay whose watch was cut sent the others away, who then avoided it for a second.
+  Scenario: A relay whose watch is cut sends hosts away
+    Given 13 listed hosts, of which one runs as the only relay
+    When the store cuts the relay's watch
+    And a host that is no relay watches
+    Then it gets its changes from the relay, and the store was asked nothing
+    When the store is down and the relay watches
+    And a host that is no relay watches
+    Then it learns that neither relay nor store answers
+
   Scenario: Loads of all hosts are added, and those of hosts that fell silent expire
     Given a relay that watches from revision 10
     When the hosts report
--- a/features/steps/evacuation_fleet_steps.py
+++ b/features/steps/evacuation_fleet_steps.py
@@ -209,17 +209,17 @@
 
 @behave.when('a host is suspended for longer than an evacuation may take')
 def suspended(context):
-    health = feed.Health(*[lambda: None] * 4)
+    health = feed.Health(*[lambda *_: None] * 4)
     context.feed = feed.Feed(None, None, (), health, random.Random(1))
-    context.feed._record_answer(time.monotonic() - 4)
+    context.feed._record_informed(time.monotonic() - 4)
 
 
 @behave.then('a request waits until the host has asked for changes')
 def waits(context):
     def answer():
         # The first answer is to a call from before the suspension.
-        context.feed._record_answer(time.monotonic() - 4)
-        context.feed._record_answer(time.monotonic())
+        context.feed._record_informed(time.monotonic() - 4)
+        context.feed._record_informed(time.monotonic())
 
     threading.Timer(0.15, answer).start()
     begun = time.monotonic()
@@ -229,7 +229,7 @@
 
 @behave.then('no request waits while the store is known to be away')
 def nobody_waits(context):
-    context.feed._record_answer(time.monotonic() - 4)
+    context.feed._record_informed(time.monotonic() - 4)
     context.feed._record_failure(errors.StoreUnavailableError('away'))
     begun = time.monotonic()
     context.feed.wait_current(3.5)
--- a/features/steps/feed_steps.py
+++ b/features/steps/feed_steps.py
@@ -61,7 +61,7 @@
     source = feed.Source('a/', replace, lambda *_: None, lambda _: None)
     health = feed.Health(
         lambda: None,
-        lambda: context.away.append(1),
+        lambda since: context.away.append(since),
         lambda: None,
         lambda: None,
     )
--- a/features/steps/lapses_steps.py
+++ b/features/steps/lapses_steps.py
@@ -45,6 +45,23 @@
     context.lapses.store_answered(context.now)
 
 
+@behave.when('calls to the store fail for {seconds:g} s')
+def calls_fail(context, seconds):
+    context.lapses.store_failed(context.now)
+    context.now += seconds
+    context.lapses.store_answered(context.now)
+
+
+@behave.when('a host starts whose calls fail for {seconds:g} s')
+def starts_and_fails(context, seconds):
+    context.replicas = replicas.Replicas(replicas.Cfg())
+    context.lapses = context.replicas.lapses
+    context.lapses.store_failed()
+    context.now += seconds
+    context.lapses.store_answered(context.now)
+    context.replicas.update(LISTED, context.now)
+
+
 @behave.when('its entry is removed')
 def entry_removed(context):
     context.replicas.remove(NAME, context.now)
@@ -152,6 +169,23 @@
     context.router.replicas.remove(listed[0].id, context.removed_at)
 
 
+@behave.given(
+    "a router that started {before:g} s before a replica's entry is removed, with one failed call after {after:g} s"
+)
+def just_started_and_failed(context, before, after):
+    just_started(context, before)
+    # The same again, with a call that failed before the removal.
+    fresh = dispatch.Dispatcher(dispatch.Cfg(), random.Random(1))
+    listed = context.router.replicas.dump()
+    lapses = fresh.replicas.lapses
+    lapses.store_answered(100.0)
+    fresh.replicas.replace(listed, 100.0)
+    lapses.store_failed(100.0 + after)
+    lapses.store_answered(100.0 + after + 0.25)
+    fresh.replicas.remove(listed[0].id, context.removed_at)
+    context.router = fresh
+
+
 @behave.then('{after:g} s after the removal no request goes to that replica')
 def none_goes_there(context, after):
     now = context.removed_at + after
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -42,7 +42,7 @@
         context.twin,
         lambda position: context.twin.watch('', position.revision, 0),
         context.view.sources(),
-        feed.Health(*[lambda: None] * 3, context.view.store_restored),
+        feed.Health(*[lambda *_: None] * 3, context.view.store_restored),
         random.Random(1),
     )
     context.feed.step()
--- a/features/steps/relay_watch_steps.py
+++ b/features/steps/relay_watch_steps.py
@@ -1,4 +1,5 @@
 import socket
+import threading
 import time
 
 import behave
@@ -75,6 +76,17 @@
     assert context.watched is None
 
 
+@behave.when("the store cuts the relay's watch")
+def cuts_watch(context):
+    cut = threading.Timer(0.1, context.fleet.twin.cut_watches)
+    cut.start()
+    try:
+        context.served.watch(kv.Position(1))
+    except errors.WatchCutError:
+        return
+    raise AssertionError('the watch was not cut')
+
+
 def root_and_first_relay(hosts):
     leaf = relay_fleet.with_role(hosts, relay_plan.Role.LEAF)[0]
     asked = relay_plan.plan(leaf, hosts).sources[0]
--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -31,7 +31,7 @@
         source = feed.Source(
             'servers/', self._replace, self._update, self.entries.pop
         )
-        health = feed.Health(*[lambda: None] * 4)
+        health = feed.Health(*[lambda *_: None] * 4)
         self._feed = feed.Feed(
             store, watch, (source,), health, random.Random(1)
         )
--- a/papayaloom/errors.py
+++ b/papayaloom/errors.py
@@ -92,6 +92,17 @@
     """
 
 
+class StoreDisconnectedError(StoreUnavailableError):
+    """The key-value service closed the connection of a call."""
+
+
+class WatchCutError(StoreUnavailableError):
+    """The key-value service closed the connection of a waiting watch.
+
+    It may do so at any time; that alone does not show that it is unavailable.
+    """
+
+
 class CodecError(PapayaloomError):
     """A message or document was malformed, foreign, replayed or forged."""
 
--- a/papayaloom/platform/store.py
+++ b/papayaloom/platform/store.py
@@ -23,6 +23,9 @@
 # Added to the wait time of a watch to get its read timeout. Kept short because
 # a watch on a dead connection misses changes until it times out.
 _WATCH_MARGIN_S = 0.8
+# The same for a watch that hardly waits, which checks a store after a failure.
+_CHECK_MARGIN_S = 0.4
+_CHECK_WAIT_S = 0.01
 _CONNECTIONS = 4
 _OK = 200
 _NOT_FOUND = 404
@@ -197,6 +200,8 @@
 
     def watch(self, prefix: str, after: int, wait_s: float) -> kv.WatchResult:
         """Wait for changes of a prefix."""
+        is_check = wait_s <= _CHECK_WAIT_S
+        margin_s = _CHECK_MARGIN_S if is_check else _WATCH_MARGIN_S
         path = _path(
             'watch',
             prefix=prefix,
@@ -204,7 +209,7 @@
             waitMs=str(round(wait_s * 1000)),
         )
         reply = self._client.call(
-            'GET', path, (_OK, _GONE), timeout_s=wait_s + _WATCH_MARGIN_S
+            'GET', path, (_OK, _GONE), timeout_s=wait_s + margin_s
         )
         if reply.status == _GONE:
             return kv.WatchResult((), after, lost=True, epoch=_epoch(reply))
--- a/papayaloom/ports/store_http.py
+++ b/papayaloom/ports/store_http.py
@@ -61,7 +61,9 @@
         :param accepted_statuses: any other status is a failure.
         :param timeout_s: read timeout of this call, for watches.
         :raises papayaloom.errors.StoreUnavailableError: there was no response
-            or one with another status.
+            or one with another status;
+            :class:`papayaloom.errors.StoreDisconnectedError` if the connection
+            was closed.
         """
         operation = f'{method} {path.partition("?")[0]}'
         try:
@@ -77,7 +79,7 @@
                 redirect=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as exc:
-            raise errors.StoreUnavailableError(
+            raise _error_type(exc)(
                 f'key-value service {self._url} did not answer: '
                 f'{urllib3_errors.describe(exc)} ({operation})',
             ) from exc
@@ -94,6 +96,12 @@
         self._pool.clear()
 
 
+def _error_type(exc: Exception) -> type[errors.StoreUnavailableError]:
+    if isinstance(exc, urllib3.exceptions.ProtocolError):
+        return errors.StoreDisconnectedError
+    return errors.StoreUnavailableError
+
+
 def decode(reply: urllib3.BaseHTTPResponse, body_type: type[_Body]) -> _Body:
     """Decode the JSON body of a response.
 
--- a/papayaloom/process/feed.py
+++ b/papayaloom/process/feed.py
@@ -21,6 +21,8 @@
 _log = structlog.get_logger('feed')
 _POLL_PAUSE_S = 0.35
 _RETRY_S = 0.25
+# Pause before a watch that was cut is repeated.
+_CUT_RETRY_S = 0.05
 # A host without a listing cannot serve requests, so its first retries are
 # more frequent.
 _INITIAL_RETRY_S = 0.15
@@ -51,6 +53,9 @@
 class Health(msgspec.Struct, frozen=True):
     """Callbacks for the availability of the store.
 
+    :param on_answer: called before the content of an answer is applied.
+    :param on_failure: called with the monotonic time since which the store may
+        have been unavailable. A cut watch is no failure by itself.
     :param fetch_snapshot: starts to fetch a snapshot from another host; called
         if a call fails while there is no current listing; must not block.
     :param on_restored: the store has returned from an older copy of itself
@@ -58,7 +63,7 @@
     """
 
     on_answer: typing.Callable[[], object]
-    on_failure: typing.Callable[[], object]
+    on_failure: typing.Callable[[float], object]
     fetch_snapshot: typing.Callable[[], object]
     on_restored: typing.Callable[[], object]
 
@@ -71,7 +76,8 @@
 class Feed:
     """Thread that lists the sources once and then watches for changes.
 
-    ``is_store_unavailable`` is true if the last call to the store failed.
+    ``is_store_unavailable`` is true if the last call to the store failed, other
+    than by a cut of a waiting watch.
     """
 
     def __init__(
@@ -110,6 +116,9 @@
         self._is_listing_wanted = False
         # When the last answered call began; what it told is not older.
         self._informed_at = float('-inf')
+        self._answered_at = float('-inf')
+        # When a waiting watch was cut after the last answer.
+        self._cut_at: float | None = None
         self._called = threading.Condition()
 
     def list_again(self) -> None:
@@ -158,6 +167,7 @@
             return
         before = self._position
         watched = self._watch(before)
+        self._record_answer()
         if watched.lost or not before.is_comparable(watched.epoch):
             _log.info(
                 'feed: change history lost; listing the store again',
@@ -172,30 +182,33 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            begun_at = time.monotonic()
-            try:
-                self.step()
-            except errors.StoreUnavailableError as exc:
-                self._record_failure(exc)
-                self._stopping.wait(
-                    self._rng.uniform(0.5, 1.5) * self._retry_s()
-                )
-                continue
-            except Exception:
-                # The thread must survive any error; without it this host
-                # would never see another change.
-                _log.exception(
-                    'feed: cannot apply a change; listing the store again'
-                )
-                self._position = None
-                # What cannot be applied does not come by waiting for it.
-                self._record_informed(begun_at)
-                self._stopping.wait(_RETRY_S)
-                continue
-            self._record_answer(begun_at)
-            is_late = time.monotonic() - begun_at > _LATE_S
-            if self._position is not None and not is_late:
-                self._stopping.wait(_POLL_PAUSE_S)
+            self._stopping.wait(self._run_step())
+
+    def _run_step(self) -> float:
+        """Run a step and return the pause before the next one, in seconds."""
+        begun_at = time.monotonic()
+        try:
+            self.step()
+        except errors.WatchCutError as exc:
+            self._cut_at = time.monotonic()
+            _log.info('feed: the watch was cut', reason=str(exc))
+            return self._rng.uniform(0.5, 1.5) * _CUT_RETRY_S
+        except errors.StoreUnavailableError as exc:
+            self._record_failure(exc)
+            return self._rng.uniform(0.5, 1.5) * self._retry_s()
+        except Exception:
+            # The thread must survive any error; without it this host would
+            # never see another change.
+            _log.exception(
+                'feed: cannot apply a change; listing the store again'
+            )
+            self._position = None
+            # What cannot be applied does not come by waiting for it.
+            self._record_informed(begun_at)
+            return _RETRY_S
+        self._record_informed(begun_at)
+        is_late = time.monotonic() - begun_at > _LATE_S
+        return 0 if self._position is None or is_late else _POLL_PAUSE_S
 
     def _retry_s(self) -> float:
         if self._was_listed:
@@ -207,12 +220,13 @@
         age_s = time.monotonic() - self._informed_at
         return self.is_store_unavailable or age_s <= max_age_s
 
-    def _record_answer(self, begun_at: float) -> None:
+    def _record_answer(self) -> None:
         if self.is_store_unavailable:
             self.is_store_unavailable = False
             _log.info('feed: the store is available again')
+        self._cut_at = None
+        self._answered_at = time.monotonic()
         self._health.on_answer()
-        self._record_informed(begun_at)
 
     def _record_informed(self, begun_at: float) -> None:
         with self._called:
@@ -227,7 +241,9 @@
                 self.is_store_unavailable = True
                 self._called.notify_all()
             _log.warning('feed: the store is unavailable', reason=str(exc))
-        self._health.on_failure()
+        self._health.on_failure(
+            self._answered_at if self._cut_at is None else self._cut_at
+        )
         if self._position is None:
             self._health.fetch_snapshot()
 
@@ -235,10 +251,10 @@
         listing = self._fetch(
             self._store if self._was_listed else next(self._initial_stores)
         )
-        self._health.on_answer()
         _log.info('feed: listed the store', position=listing.position)
         if not listing.position.is_comparable(self._listed_epoch):
             self._health.on_restored()
+        self._record_answer()
         self._listed_epoch = listing.position.epoch
         for source in self._sources:
             source.replace(
--- a/papayaloom/process/relay_watch.py
+++ b/papayaloom/process/relay_watch.py
@@ -21,6 +21,8 @@
 # a hanging call must time out early.
 _DIRECT_WAIT_S = 1.0
 _RELAY_WAIT_S = 0.5
+# Wait of the watch after one that was cut: it only checks the store.
+_CHECK_WAIT_S = 0.001
 _TIMEOUT_S = 0.5
 # Each attempt at a hanging host costs a timeout, so it is avoided for longer
 # than a host that answers that it cannot help.
@@ -79,6 +81,8 @@
         self._asks_peers = asks_peers
         # Earliest time of the next call to the store.
         self._store_retry_at = float('-inf')
+        # Whether the last watch of the store was cut while it waited.
+        self._is_cut = False
         self._lock = threading.Lock()
         self._avoided_until: dict[str, float] = {}
         self._polled: fleet_hosts.Host | None = None
@@ -91,6 +95,8 @@
 
         :raises papayaloom.errors.StoreUnavailableError: neither a relay host
             nor the store answered.
+        :raises papayaloom.errors.WatchCutError: the store cut the watch, which
+            is to be repeated at once.
         """
         plan = relay_plan.plan(
             self._me, self._hosts.all(), self._avoided_hosts()
@@ -167,14 +173,19 @@
         self, position: kv.Position, wait_s: float
     ) -> kv.WatchResult:
         try:
-            watched = self._store.watch('', position.revision, wait_s)
-        except errors.StoreUnavailableError:
-            with self._lock:
-                self._relay.record_store_failure()
-            self._store_retry_at = time.monotonic() + store_backoff.retry_s(
-                self._hosts.count(), 0, self._rng.random()
+            watched = self._store.watch(
+                '', position.revision, _CHECK_WAIT_S if self._is_cut else wait_s
             )
+        except errors.StoreDisconnectedError as exc:
+            if not self._is_cut:
+                self._is_cut = True
+                raise errors.WatchCutError(str(exc)) from exc
+            self._record_store_failure()
+            raise
+        except errors.StoreUnavailableError:
+            self._record_store_failure()
             raise
+        self._is_cut = False
         if not position.is_comparable(watched.epoch):
             watched = kv.WatchResult(
                 (), position.revision, lost=True, epoch=watched.epoch
@@ -183,6 +194,13 @@
             self._relay.publish(position, watched, time.monotonic())
         return watched
 
+    def _record_store_failure(self) -> None:
+        with self._lock:
+            self._relay.record_store_failure()
+        self._store_retry_at = time.monotonic() + store_backoff.retry_s(
+            self._hosts.count(), 0, self._rng.random()
+        )
+
     def _ask_peer(
         self, plan: relay_plan.Plan, position: kv.Position
     ) -> kv.WatchResult | None:
--- a/papayaloom/process/store_view.py
+++ b/papayaloom/process/store_view.py
@@ -23,6 +23,7 @@
     stored_entries,
 )
 from papayaloom.routing import dispatch, replicas
+from papayaloom.routing.health import lapses
 from papayaloom.routing.poison import poison_evidence
 from papayaloom.request import header_dialect
 from papayaloom.version import routes
@@ -144,11 +145,14 @@
             )
         )
 
-    def store_failed(self) -> None:
-        """Record that the store did not answer."""
-        self.hosts.lapses.store_failed()
+    def store_failed(self, since: float = lapses.UNKNOWN_START) -> None:
+        """Record that the store did not answer.
+
+        :param since: monotonic time since which it may have been unavailable.
+        """
+        self.hosts.lapses.store_failed(since)
         self._dispatch_client.tell(
-            lambda dispatcher, _: dispatcher.replicas.lapses.store_failed()
+            lambda dispatcher, _: dispatcher.replicas.lapses.store_failed(since)
         )
 
     def store_restored(self) -> None:
--- a/papayaloom/routing/replicas.py
+++ b/papayaloom/routing/replicas.py
@@ -73,12 +73,16 @@
     :param first_lapse_s: the same for a host that has just started; must be
         below the time within which a removal must take effect while the store
         is stable.
+    :param min_outage_s: calls to the store that fail for a shorter time let no
+        entry of a live replica lapse. That takes two liveness reports, 1.2 s
+        apart, of which a host behind relays may notice 1.2 s less.
     :param newcomer_s: a replica known for less than this time is assumed to
         have an empty cache.
     """
 
     lapse_s: float = 2.2
     first_lapse_s: float = 1.7
+    min_outage_s: float = 1.0
     newcomer_s: float = 8
 
 
@@ -103,7 +107,7 @@
         # whether it is a start that this router has not known.
         self.on_entry: OnEntry = _ignore_entry
         self.lapses: lapses.Lapses[ReplicaId] = lapses.Lapses(
-            cfg.lapse_s, cfg.first_lapse_s
+            cfg.lapse_s, cfg.first_lapse_s, cfg.min_outage_s
         )
 
     def update(self, replica: Replica, now: float) -> bool:
--- a/papayaloom/standins/kv.py
+++ b/papayaloom/standins/kv.py
@@ -131,6 +131,7 @@
         self._timeout_s = timeout_s
         self._table = kv_table.Table()
         self._changed = threading.Condition()
+        self._cuts = 0
         self._write_bucket = _TokenBucket()
         self._read_bucket = _TokenBucket()
         self._late_writes: list[tuple[float, typing.Callable[[], object]]] = []
@@ -219,6 +220,7 @@
     def watch(self, prefix: str, after: int, wait_s: float) -> kv.WatchResult:
         """Wait for changes to a prefix."""
         deadline = self._clock.monotonic() + wait_s
+        cuts = self._cuts
         self.counts.watches += 1
         watched = self._call(
             lambda: self._events(prefix, after), is_write=False
@@ -232,10 +234,18 @@
                 # Leases expire without a call, so check for it periodically.
                 self._changed.wait(min(left, 0.5))
                 self.counts.waiting -= 1
+                if self._cuts > cuts:
+                    raise errors.StoreDisconnectedError('the watch was cut')
                 self._apply_due_changes()
                 watched = self._events(prefix, after)
         return watched
 
+    def cut_watches(self) -> None:
+        """Close the connections of all watches that wait."""
+        with self._changed:
+            self._cuts += 1
+            self._changed.notify_all()
+
     @property
     def epoch(self) -> int:
         """Number of times that the service returned to an earlier state."""
