Broken answers: more forms of both, at copies, refusals and each client

Change: tests only. FakeEngine's switch reads_bodies is reads_uploads: a long body stays unread, a short one is read.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -44,6 +44,32 @@
     Then the caller gets the whole one
     And the first replica counts as one that failed
 
+  # Guards against REFUSED: "not run" needs the word of the replica, in an answer that is whole.
+  Scenario Outline: A replica refuses a request before its upload has ended
+    Given a replica that reads no upload and refuses with <part> of an answer with <framing>, then <end>
+    When a caller uploads 8 MB to "/orders/x"
+    Then the caller gets <outcome>
+
+    Examples:
+      | framing   | part          | end            | outcome      |
+      | a length  | everything    | a reset        | not run      |
+      | chunks    | everything    | unread bytes   | not run      |
+      | no length | everything    | a proper close | not run      |
+      | no length | half the body | a reset        | may have run |
+      | a length  | half the body | a reset        | may have run |
+      | a length  | half a head   | a proper close | may have run |
+
+  Scenario Outline: A copy of a late request resets its connection during the upload
+    Given a hedging router whose replicas read no upload and answer a late one by "<first>" and "<second>"
+    When a late upload goes to "/calls/x"
+    Then the caller gets the answer "<answer>"
+
+    Examples:
+      | first                                                   | second                                                 | answer |
+      | half a body without a length and a reset after 0.2 s    | copy 2 after 0.6 s                                     | copy 2 |
+      | copy 1 after 0.8 s                                      | half a body without a length and a reset after 0.1 s   | copy 1 |
+      | half a body and a reset after 0.2 s                     | copy 2 after 0.6 s                                     | copy 2 |
+
   Scenario Outline: A replica resets its connection during the upload of a request for a stream
     Given a replica that reads no upload and streams 2 events with <framing>, then <end>
     When a caller uploads 8 MB to the stream "/plain/x"
@@ -125,8 +151,17 @@
       | a call to a service    | no length | a reset        |
       | a stream of an engine  | a length  | a proper close |
       | a stream of an engine  | chunks    | a proper close |
+      | a stream of an engine  | a length  | a reset        |
+      | a stream of an engine  | chunks    | a reset        |
+      | a stream of an engine  | no length | a reset        |
       | a call to the store    | a length  | a proper close |
       | a call to the store    | chunks    | a proper close |
+      | a call to the store    | a length  | a reset        |
+      | a call to the store    | chunks    | a reset        |
+      | a call to the store    | no length | a reset        |
+      | a call to another host | a length  | a proper close |
+      | a call to another host | chunks    | a reset        |
+      | a call to another host | no length | a reset        |
 
   # Guards against MIXED: the rest of bytes that belong to no request was taken for the next answer.
   Scenario: A connection is used again although bytes follow the answer
@@ -173,3 +208,26 @@
       | a stream of an engine  | no length | everything    | a proper close and a reset | the whole one |
       | a call to the store    | no length | everything    | a proper close and a reset | the whole one |
       | a call to the store    | a length  | everything    | unread bytes               | the whole one |
+
+  # Guards against MIXED, at each client that a host has beside the store's.
+  Scenario Outline: A client takes a broken answer for a sound one
+    Given a server that sends <what> to the client of <content>
+    Then the client <outcome> it
+
+    Examples:
+      | content          | what                                | outcome |
+      | snapshots        | a sound answer                      | takes   |
+      | snapshots        | a blank in a name                   | refuses |
+      | snapshots        | no length and a reset               | refuses |
+      | relays           | a sound answer                      | takes   |
+      | relays           | a blank in a name                   | refuses |
+      | relays           | no length and a reset               | refuses |
+      | host lists       | a sound answer                      | takes   |
+      | host lists       | a blank in a name                   | refuses |
+      | host lists       | no length and a reset               | refuses |
+      | weights          | a sound answer                      | takes   |
+      | weights          | a blank in a name                   | refuses |
+      | weights          | no length and a reset               | refuses |
+      | status resources | a sound answer                      | takes   |
+      | status resources | a blank in a name                   | refuses |
+      | status resources | no length and a reset               | refuses |
--- a/features/broken_replica.py
+++ b/features/broken_replica.py
@@ -91,6 +91,20 @@
     return script
 
 
+def refusing(framing, part, end):
+    """Return a script that refuses a request as not run, and ends likewise."""
+
+    def script(engine, conn, method, path, asked, body):
+        raw = answer(framing, asked['papayaloom-request-id'])
+        mark = b'503 Full\r\nPapayaloom-Not-Executed: 1'
+        conn.sendall(part_of(raw.replace(b'200 OK', mark, 1), part))
+        time.sleep(_ARRIVAL_S)
+        ENDS[end](conn)
+        return False
+
+    return script
+
+
 def breaking_stream(framing, end):
     """Return a script that sends two events and ends its connection."""
 
--- a/features/fake_engine.py
+++ b/features/fake_engine.py
@@ -8,6 +8,9 @@
 import time
 
 
+_UPLOAD_BYTES = 1_000_000
+
+
 def event(request, offset, text='', finish=None):
     choice = {
         'index': 0,
@@ -24,16 +27,17 @@
     The script gets this engine, the connection, method, path, headers and
     body. It returns whether the connection stays open.
 
-    An engine that reads no bodies lets few bytes of them wait at its socket.
+    An engine that reads no uploads leaves long bodies unread, and lets few
+    bytes of them wait at its socket.
     """
 
-    def __init__(self, script, reads_bodies=True):
+    def __init__(self, script, reads_uploads=True):
         self.script = script
         self.requests = []
         self.connections = 0
-        self._reads_bodies = reads_bodies
+        self._reads_uploads = reads_uploads
         self._listener = socket.create_server(('127.0.0.1', 0), backlog=64)
-        if not reads_bodies:
+        if not reads_uploads:
             self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.url = 'http://127.0.0.1:%d' % self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
@@ -69,8 +73,8 @@
                         name, _, content = line.decode().partition(': ')
                         headers[name.lower()] = content
                     body = b''
-                    if self._reads_bodies:
-                        length = int(headers.get('content-length', 0))
+                    length = int(headers.get('content-length', 0))
+                    if self._reads_uploads or length < _UPLOAD_BYTES:
                         body = reader.read(length)
                     self.requests.append((method, path, headers, body))
                     if not self.script(self, conn, method, path, headers, body):
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -22,7 +22,7 @@
 
 
 def start(context, script):
-    one_router.start(context, script, LIMITS, reads_bodies=False)
+    one_router.start(context, script, LIMITS, reads_uploads=False)
 
 
 @behave.given(
@@ -39,6 +39,13 @@
     start(context, broken_replica.breaking_stream(framing, end))
 
 
+@behave.given(
+    'a replica that reads no upload and refuses with {part} of an answer with {framing}, then {end}'
+)
+def refuses(context, part, framing, end):
+    start(context, broken_replica.refusing(framing, part, end))
+
+
 @behave.given('another one that answers "{script}"')
 def another_answers(context, script):
     add_second(context, fleets.SCRIPTS[script])
@@ -97,6 +104,14 @@
     assert verdict == errors.Verdict.MAY_HAVE_RUN.value, found
 
 
+@behave.then('the caller gets not run')
+def gets_refusal(context):
+    found = context.answer.status, context.answer.content
+    assert found[0] == 503, found
+    verdict = json.loads(found[1])['verdict']
+    assert verdict == errors.Verdict.NOT_RUN.value, found
+
+
 @behave.then('the caller gets the whole one')
 def gets_whole(context):
     found = context.answer.status, context.answer.content
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -9,7 +9,7 @@
 import behave
 
 from features import forwarding_router as fleets
-from features import hostile_replica, one_router
+from features import broken_replica, hostile_replica, one_router
 from papayaloom import errors, ids
 from papayaloom.platform import settings
 from papayaloom.process import hedged_exchange
@@ -18,6 +18,8 @@
 from papayaloom.routing.overload import budgets, hedging
 from papayaloom.routing.poison import poison_evidence
 
+# More than the sockets of the two sides hold.
+UPLOAD_BYTES = 8_000_000
 SERVICE = ids.ServiceId('models')
 SUSPECT = ids.Fingerprint('suspect')
 OFFSETS = (0, 7, 14, 21)
@@ -299,6 +301,18 @@
     return answer
 
 
+def begun(framing):
+    """Return a script that sends half an answer, and resets the connection."""
+
+    def script(engine, conn, *args):
+        whole = broken_replica.answer(framing, 'late')
+        conn.sendall(broken_replica.part_of(whole, 'half the body'))
+        time.sleep(0.1)
+        return broken(engine, conn)
+
+    return script
+
+
 def broken(engine, conn, *args):
     fleets.reset(engine, conn)
     raise OSError('the connection is reset')
@@ -316,6 +330,8 @@
     'a refusal': refusal,
     'an error': fleets.fail,
     'a reset': broken,
+    'half a body and a reset': begun('a length'),
+    'half a body without a length and a reset': begun('no length'),
 }
 ANSWERS = {
     'copy 1': (200, b'copy 1'),
@@ -331,12 +347,12 @@
 @behave.given(
     'a hedging router whose replicas answer a late request by "{first}" and "{second}"'
 )
-def hedging_router(context, first, second):
+def hedging_router(context, first, second, **options):
     context.copies = Copies((first, second))
     fleet = one_router.fleet(context)
-    fleet.write(7)
+    fleet.write(7, limits={'maxBodyBytes': 2 * UPLOAD_BYTES})
     for _ in range(3):
-        fleet.add_replica(context.copies)
+        fleet.add_replica(context.copies, **options)
     context.router = fleet.start_router(
         placing=dispatch.Cfg(
             hedges=hedging.Cfg(extra_percent=20),
@@ -351,6 +367,24 @@
             assert found.status == 200, found.status
 
 
+@behave.given(
+    'a hedging router whose replicas read no upload and answer a late one by "{first}" and "{second}"'
+)
+def hedging_uploads(context, first, second):
+    hedging_router(context, first, second, reads_uploads=False)
+
+
+@behave.when('a late upload goes to "{path}"')
+def late_upload(context, path):
+    context.answer = fleets.ask(
+        context.router,
+        'POST',
+        path,
+        request='late',
+        content=bytes(UPLOAD_BYTES),
+    )
+
+
 @behave.when('a late request goes to "{path}"')
 def late_request(context, path):
     method = 'GET' if path.startswith('/calls') else 'POST'
--- a/features/steps/strict_readers_steps.py
+++ b/features/steps/strict_readers_steps.py
@@ -226,7 +226,7 @@
         reader,
         context.script,
         bytes(UPLOAD_BYTES),
-        reads_bodies=False,
+        reads_uploads=False,
     )
 
 
