Streams: an event out of order is no repeated one

What callers would have seen: a stream with ids 0, 2, 1, 3 looked complete without 1 since, which takes the step from 0 to 2; 5, 3, 6 and 5, 6, 7, 3, 8 did so before as well.

Cause: each event whose id is not above the last one was dropped as a repeated one. That holds where all ids up to the last one have been delivered, or at the start of a replica that begins anew.

Change: the joiner keeps the id of the event before in the present stream. A lower one is a fault, unless all ids since the first have been delivered. The struct Event, which only carried two values, is gone. Forwarder._increasing is now _uncounted_services.

Tests: event_ids.feature, eight scenarios more.

--- a/features/event_ids.feature
+++ b/features/event_ids.feature
@@ -37,6 +37,37 @@
       | 5 6 7 10          | one by one           | 3    |
       | 41 42 43 45 46    | at once              | 3    |
 
+  # Guards against ORDER: an event out of order was dropped, and the stream looked complete without it.
+  Scenario Outline: A stream whose ids decrease looks complete
+    Given event ids <ids> of a replica, sent <how>
+    When a caller asks for the stream "/plain/x"
+    Then the caller gets <part> of the events <ids>
+
+    Examples:
+      | ids         | how                  | part |
+      | 0 2 1 3     | one by one           | 2    |
+      | 0 14 7 21   | at once              | 2    |
+      | 5 3 6       | in pieces of 5 bytes | 1    |
+      | 5 6 7 3 8   | one by one           | 3    |
+
+  Scenario Outline: A replica that repeats events has its stream cut
+    Given event ids <ids> of a replica, sent one by one
+    When a caller asks for the stream "/plain/x"
+    Then the caller gets all of the events <new>
+
+    Examples:
+      | ids           | new     |
+      | 1 2 1 2 3     | 1 2 3   |
+      | 1 2 3 2 3 4   | 1 2 3 4 |
+      | 0 7 7 14      | 0 7 14  |
+
+  # A replica that begins anew in place of going on.
+  Scenario: A stream goes on at a replica that begins at its start
+    Given event ids 0 7 14 21 of a replica that begins at its start
+    And before it one that stops within event 14
+    When a caller asks for the stream "/resumable/x"
+    Then the caller gets all of the events 0 7 14 21
+
   # Guards against LOST, where a stream goes on at another replica.
   Scenario Outline: A stream with offsets as ids does not go on elsewhere
     Given event ids <ids> of a replica, sent one by one
--- a/features/hostile_replica.py
+++ b/features/hostile_replica.py
@@ -178,6 +178,8 @@
 
     def script(engine, conn, method, path, asked, body):
         after = int(asked.get('last-event-id') or -1)
+        if how == 'from the start':
+            after = -1
         sent = [
             b'id: %d\ndata: event %d\n\n' % (number, number)
             for number in numbers
--- a/features/steps/event_ids_steps.py
+++ b/features/steps/event_ids_steps.py
@@ -26,6 +26,11 @@
     one_router.start(context, hostile_replica.numbered(context.ids, how))
 
 
+@behave.given('event ids {ids} of a replica that begins at its start')
+def begins_anew(context, ids):
+    numbers_and_sends(context, ids, 'from the start')
+
+
 @behave.given('before it one that stops within event {number:d}')
 def stops_before(context, number):
     script = hostile_replica.numbered(context.ids, stops_within=number)
--- a/papayaloom/process/forwarder.py
+++ b/papayaloom/process/forwarder.py
@@ -77,7 +77,7 @@
         """Use the given components."""
         self._deps = deps
         # Services whose event ids are shown not to count the events.
-        self._increasing: set[ids.ServiceId] = set()
+        self._uncounted_services: set[ids.ServiceId] = set()
         self._copy_steps = hedged_exchange.CopySteps(
             self._place,
             self._connect,
@@ -106,7 +106,7 @@
         :raises upstream_connection.CallerDisconnectedError: the caller
             disconnected.
         """
-        if job.service in self._increasing:
+        if job.service in self._uncounted_services:
             job.joiner.steps = event_numbering.IdSteps(
                 event_numbering.Numbering.INCREASES
             )
@@ -118,9 +118,9 @@
                 buffer.release()
 
     def _learn_numbering(self, job: forward_job.Job) -> None:
-        is_known = job.service in self._increasing
+        is_known = job.service in self._uncounted_services
         if job.joiner.steps.proves_increase and not is_known:
-            self._increasing.add(job.service)
+            self._uncounted_services.add(job.service)
             forward_log.ids_increase(job)
 
     def _forward(self, job: forward_job.Job) -> int:
--- a/papayaloom/request/event_joiner.py
+++ b/papayaloom/request/event_joiner.py
@@ -10,19 +10,10 @@
 MAX_EVENT_BYTES = 262_144
 # Enough for 64 bits, so for times in nanoseconds.
 _MAX_ID_DIGITS = 20
+_INCREASES = event_numbering.Numbering.INCREASES
 _EVENT_TERMINATOR = re.compile(rb'\n\n|\r\n\r\n')
 
 
-class Event(msgspec.Struct, frozen=True):
-    """One event as received, including the terminating blank line.
-
-    :param number: event id, or None if it has no numeric id.
-    """
-
-    content: bytes
-    number: int | None
-
-
 class Joined(msgspec.Struct, frozen=True):
     """What received bytes add to a stream.
 
@@ -57,6 +48,9 @@
     def __init__(self, last: int | None = None) -> None:
         """Start after the last delivered event."""
         self.last = last
+        self._first = last
+        # Id of the last event of the present replica's stream.
+        self._last_received: int | None = None
         self.progress = 0
         self.steps = event_numbering.IdSteps()
         self._buffer = b''
@@ -74,6 +68,7 @@
     def restart(self) -> None:
         """Drop an incomplete event, for a stream of another replica."""
         self._buffer = b''
+        self._last_received = None
         self.steps.restart()
 
     def feed(self, chunk: bytes) -> Joined:
@@ -105,20 +100,41 @@
         if len(ids) > 1:
             # The blank line between two events was lost.
             return f'an event with {len(ids)} ids follows event {self.last}'
-        event = Event(content, ids[0] if ids else None)
-        if event.number is None:
-            if not _is_comment(event.content):
-                return f'an event without an id follows event {self.last}'
-            new_events.append(event.content)
+        number = ids[0] if ids else None
+        if number is None and not _is_comment(content):
+            return f'an event without an id follows event {self.last}'
+        if number is not None:
+            before = self._last_received
+            self._last_received = number
+            if self.last is not None and number <= self.last:
+                return self._order_problem(number, before)
+            if not self._may_follow(number):
+                return f'event {number} follows event {self.last}'
+            self._advance(number)
+        new_events.append(content)
+        return ''
+
+    def _advance(self, number: int) -> None:
+        if self._first is None:
+            self._first = number
+        self.last = number
+        self.progress += 1
+
+    def _order_problem(self, number: int, before: int | None) -> str:
+        """Return why an event that is not new is faulty, or nothing.
+
+        A replica may repeat events at the start of its stream. Later on, an id
+        that is lower than the one before belongs to an event out of order,
+        unless all ids up to the last one have been delivered.
+
+        :param before: id of the event before in the same stream.
+        """
+        if before is None or number >= before:
             return ''
-        if self.last is not None and event.number <= self.last:
+        is_gapless = self.steps.numbering is not _INCREASES
+        if is_gapless and number >= (self._first or 0):
             return ''
-        if not self._may_follow(event.number):
-            return f'event {event.number} follows event {self.last}'
-        self.last = event.number
-        self.progress += 1
-        new_events.append(event.content)
-        return ''
+        return f'event {number} follows event {before}'
 
     def _may_follow(self, number: int) -> bool:
         return self.last is None or self.steps.take(self.last, number)
