Review: show a prompt part that crashes replicas and is never condemned

A replica that begins to write an answer on the part crashes after the second event. From the second event on, a termination acquits all parts of the prompt, so the part is never condemned: each request with it crashes a replica, and sound streams that run there are cut off.

Command: review/13/run.sh (TROUBLE=0 with a harmless part).

--- /dev/null
+++ b/review/13/case.py
@@ -0,0 +1,107 @@
+"""A prompt part crashes replicas after the first events of the answer."""
+
+import asyncio
+import os
+import random
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                '..', 'lib-3'))
+import world  # noqa: E402
+
+MACHINES = 6
+REPLICAS = 12
+CONTACT_S = 3.0
+BACK_S = 3.0
+SOUND_PER_S = 10
+REQUESTS = 20
+APART_S = 1.5
+# Events that a replica writes of an answer before it crashes.
+CRASH_AFTER = 2
+ALLOWED = 3
+DEADLY = 'dead0bad'
+FIRST = '5c1e07a2'
+DOCUMENTS = [f'd0c{number:05x}' for number in range(44)]
+
+
+async def scenario(record, scratch, gateways, trouble):
+    store = world.Store(record)
+    network = world.free_network()
+    await store.server.start('127.0.0.1')
+    await store.put('op/config', world.config(7, [
+        world.route('care-sheet-digest', '/lohu930/', 'huvo11a', 'streaming',
+                    timeoutMs=15000, targetLatencyMs=1000, priority=1,
+                    sticky=True, targetGapMs=800)], world.TENANTS))
+    zones = ['lk-west-a', 'lk-west-b', 'lk-west-c']
+    deadly = {DEADLY} if trouble else set()
+    pool = world.Pool(
+        record, store,
+        lambda zone, on_crash: world.ModelReplica(
+            record, store, 'huvo11a', zone, deadly, on_crash,
+            crash_after=CRASH_AFTER), BACK_S)
+    await pool.start([zones[number % 3] for number in range(REPLICAS)])
+    for number in range(MACHINES):
+        gateways.append(world.Gateway(
+            record, scratch, f'front-{number}', f'{network}.{number + 1}',
+            store.server.address, [], zones[number % 3]))
+    for one in gateways:
+        one.start()
+    if not await world.until(lambda: world.all_ready(gateways), 20):
+        record.say('the machines did not become ready')
+        return 2
+    await asyncio.sleep(14)
+    sound = []
+    poison = []
+    traffic = asyncio.ensure_future(run_sound(record, gateways, sound))
+    await asyncio.sleep(8)
+    for _ in range(REQUESTS):
+        poison.append(await ask(record, gateways, DEADLY))
+        await asyncio.sleep(APART_S)
+    traffic.cancel()
+    await asyncio.sleep(2)
+    record.say('answers to sound requests:', count(sound))
+    record.say('answers to requests with the part:', count(poison))
+    record.say('crashes, seconds after the first:', [
+        round(at - pool.crashes[0], 2) for at in pool.crashes])
+    if not trouble:
+        return 0
+    if len(pool.crashes) < 5:
+        record.say('fewer than five crashes')
+        return 2
+    fifth_at = sorted(pool.crashes)[4]
+    late = [one for one in pool.arrivals()
+            if DEADLY in one[3] and one[0] > fifth_at + CONTACT_S]
+    record.say('requests with the part that reached a replica later than',
+               CONTACT_S, 's after the fifth crash:', len(late))
+    for at, name, _, _ in late:
+        record.say(f'{name} {at - fifth_at:.3f} s after the fifth crash')
+    return 1 if len(late) > ALLOWED else 0
+
+
+def count(statuses):
+    return {one: statuses.count(one) for one in sorted(set(statuses))}
+
+
+async def run_sound(record, gateways, sound):
+    async def one():
+        sound.append(await ask(record, gateways, FIRST))
+
+    while True:
+        await asyncio.sleep(random.expovariate(SOUND_PER_S))
+        asyncio.ensure_future(one())
+
+
+async def ask(record, gateways, first):
+    name = world.request_id()
+    machine = random.choice(gateways)
+    parts = [(first, 512), (random.choice(DOCUMENTS), 10000), (name, 1300)]
+    record.note('consumer sends', name, parts, 'to', machine.name)
+    found = await world.ask(machine.front(), 'POST', '/lohu930/2f', name, 15,
+                            world.KEY, f'prompt {name}'.encode(),
+                            world.model_fields(parts))
+    record.note('consumer got', found.status, 'to', name, found.why)
+    return found.status
+
+
+world.main(scenario)
