--- a/review/lib-3/world.py
+++ b/review/world_3.py
@@ -23,7 +23,7 @@
 import urllib.parse
 
 ROOT = os.path.abspath(
-    os.path.join(os.path.dirname(os.path.abspath(__file__)), '..', '..')
+    os.path.join(os.path.dirname(os.path.abspath(__file__)), '..')
 )
 REASONS = {200: 'OK', 404: 'Not Found', 410: 'Gone', 412: 'Failed',
            421: 'Misdirected Request', 500: 'Internal Server Error',
@@ -640,7 +640,7 @@
                     # What became of each request is recorded above.
                     if 'forward: ' in line or 'request ended' in line:
                         continue
-                    record.note('log', gateway.name, line)
+                    record.note('log', gateway.name, line.replace(ROOT, '.'))
     record.say({0: 'held', 1: 'BROKEN', 2: 'could not run'}[status])
     record.close()
     sys.exit(status)
@@ -650,8 +650,8 @@
     loop = asyncio.get_running_loop()
     # Channels that are open at the end are of no interest.
     loop.set_exception_handler(
-        lambda _, context: record.note('stand-in:', context.get('message'),
-                                       repr(context.get('exception'))))
+        lambda _, context: record.note(
+            'stand-in:', type(context.get('exception')).__name__))
     return await asyncio.wait_for(scenario, 110)
 
 
