Poison: a prompt part counts at whatever event its replica ends

Cause: a replica that ended after the response had gone beyond its first event acquitted all parts of the prompt (PoisonDetector._record_termination). The same reading: the rest of a stream that goes on behind an end was taken for a whole answer, of parts and of whole requests.

Change: an end counts at any event; only an answer from its beginning to its end acquits. Replicas that end for other reasons run many streams, so a verdict on a part asks whether chance explains as many ends in the time for which requests with it ran, at the rate of ends under this host's own requests (termination_rate), the stricter the more replicas end without the part (recent_terminations).

Tests: poison.feature. The machine of whole requests lets its poison end replicas late, too, and finds one more fault.

--- a/features/machines/poison_machine.py
+++ b/features/machines/poison_machine.py
@@ -51,11 +51,11 @@
                 self.hosts[host].record_start(mark, name)
                 self.running[name].append((host, mark))
 
-    @stateful.rule(host=HOST, name=NAME, mark=MARK)
-    def ends_at_once(self, host, name, mark):
+    @stateful.rule(host=HOST, name=NAME, mark=MARK, has_begun=st.booleans())
+    def ends_at_once(self, host, name, mark, has_begun):
         """Poison comes, or a replica ends by chance."""
         self.place(host, name, {mark})
-        self.replica_ends(name, False)
+        self.replica_ends(name, has_begun)
 
     @stateful.rule(host=HOST, name=NAME)
     def runs_well(self, host, name):
@@ -76,10 +76,9 @@
         self.births[name] += 1
         runs, self.running[name] = self.running[name], []
         for host, mark in runs:
-            is_late = has_begun and mark is not POISON
             self.ends[mark].add((name, self.births[name]))
             self.hosts[host].record_attempt_end(mark, name)
-            suspicion = poison_evidence.Suspicion(mark, start, is_late)
+            suspicion = poison_evidence.Suspicion(mark, start, has_begun)
             self.hosts[host].record_termination(suspicion, self.now)
         self.write()
 
@@ -174,6 +173,17 @@
     return mock.patch.object(replicas, 'start_id', lambda replica: replica.id)
 
 
+def begun_counts_for_nothing():
+    """Fault: an end after the answer has begun is not recorded."""
+    record = poison.PoisonTracker.record_termination
+
+    def wrong(self, suspicion, now):
+        if not suspicion.has_begun:
+            record(self, suspicion, now)
+
+    return mock.patch.object(poison.PoisonTracker, 'record_termination', wrong)
+
+
 def never_clears():
     """Fault: a whole answer does not clear a request."""
     return mock.patch.object(
@@ -185,4 +195,7 @@
     'hosts keep ends to themselves': keeps_silent,
     'a replica ends once only': one_end_a_replica,
     'a whole answer clears nothing': never_clears,
+    'an end after the answer has begun counts for nothing': (
+        begun_counts_for_nothing
+    ),
 }
--- a/features/mortal_fleet.py
+++ b/features/mortal_fleet.py
@@ -23,6 +23,7 @@
 # Names of prompt parts in hexadecimal.
 SHARED_PART = 'aa01'
 POISON_PART = 'dead'
+ANYWHERE = -1
 _PARTS_HEADER = 'Papayaloom-Prompt-Prefix'
 _BACK_S = 0.8
 _REGISTER_S = 0.2
@@ -56,13 +57,24 @@
 
     It is back a moment later as another start.
 
-    :param runs_to: event of a poison stream at which the replica ends.
+    :param runs_to: event of a poison stream at which the replica ends; another
+        one each time if it is ``ANYWHERE``.
+    :param events: number of events of a sound stream.
     :param orders: script for the route ``/orders/``.
     """
 
     def __init__(
-        self, twin, name, sent, *, keeps_id=False, runs_to=0, orders=fleets.slow
+        self,
+        twin,
+        name,
+        sent,
+        *,
+        keeps_id=False,
+        runs_to=0,
+        orders=fleets.slow,
+        events=_EVENTS,
     ):
+        self._events = events
         self._twin = twin
         self._name = name
         self._sent = sent
@@ -128,20 +140,27 @@
         parts = asked.get(_PARTS_HEADER.lower(), '')
         self._sent.append((time.monotonic(), path + parts, request))
         if POISON_PART in parts:
-            self.end()
+            self._break_off(engine, conn, method, path, asked, body)
             return False
         if POISON in path:
-            if self._runs_to:
-                script = fleets.stream(self._runs_to + 1, self._runs_to)
-                script(engine, conn, method, path, asked, body)
-            self.end()
+            self._break_off(engine, conn, method, path, asked, body)
             return False
-        if path.startswith('/resumable/'):
-            script = fleets.stream(_EVENTS)
+        if path.startswith(('/resumable/', '/plain/')):
+            script = fleets.stream(self._events)
             return script(engine, conn, method, path, asked, body)
         script = self._orders if path.startswith('/orders/') else fleets.slow
         return script(engine, conn, method, path, asked, body)
 
+    def _break_off(self, engine, conn, method, path, asked, body):
+        """End, at an event if there is one."""
+        number = self._runs_to
+        if number == ANYWHERE:
+            number = random.randrange(_EVENTS)
+        if number:
+            script = fleets.stream(number + 1, number)
+            script(engine, conn, method, path, asked, body)
+        self.end()
+
 
 class Fleet:
     """Store, replicas and gateway processes; closed as a context.
@@ -194,6 +213,11 @@
             if POISON in path or POISON_PART in path
         ]
 
+    def end_next_replica(self):
+        """End the replica that has run for longest, for a reason of its own."""
+        self.replicas.append(self.replicas.pop(0))
+        self.replicas[-1].end()
+
     def store_calls(self):
         """Return the paths of all calls to the store."""
         return list(self._standin.calls)
--- a/features/poison.feature
+++ b/features/poison.feature
@@ -95,6 +95,19 @@
       | hosts keep ends to themselves |
       | a replica ends once only      |
       | a whole answer clears nothing |
+      | an end after the answer has begun counts for nothing |
+
+  Scenario: No order of ends, answers and rests lets a poison part through
+    Then the machine of poison parts finds nothing in 150 runs of 40 steps
+
+  Scenario Outline: The machine of poison parts finds deliberate faults
+    Then the machine of poison parts finds the fault "<fault>" in 150 runs of 40 steps
+
+    Examples:
+      | fault                                                |
+      | an answer that has begun acquits its parts           |
+      | an end after the answer has begun counts for nothing |
+      | the rest of an answer acquits its parts              |
 
   # Guards against BUDGET under a poison prompt part: every request with it had its own fingerprint.
   Scenario Outline: A prompt part under which replicas ended is not sent on, although no two requests are alike
@@ -109,6 +122,47 @@
       | GET    | /calls/x    |
       | POST   | /orders/x   |
 
+  # Guards against BUDGET: a replica that ended after the second event acquitted the part that had ended it.
+  Scenario Outline: A prompt part that ends replicas in the middle of an answer is sent on
+    Given 3 gateway processes and 6 replicas that end at any event of a poison request
+    When now and then requests with a poison part come as "POST" "<path>" for 12 s, beside sound ones with the other parts
+    Then later than 3 s after its fifth end it has reached at most 3 replicas
+    And later than 3 s after its last end all of its callers are refused as "not run", at least 3 times
+    And later than 1 s after the last end all sound requests are served, at least 10
+
+    Examples:
+      | path         |
+      | /plain/x     |
+      | /resumable/x |
+
+  # Guards against LOST: replicas that end for reasons of their own run streams with many parts, some of them in all.
+  Scenario: A prompt part is refused because replicas end for other reasons
+    Given 3 gateway processes and 6 replicas with streams of 40 events
+    When replicas end for reasons of their own each 0.5 s for 12 s, under streams to "/plain/x"
+    Then no caller is refused for a condemned part, and 20 are served
+
+  Scenario Outline: A part that ends replicas at any point is found among sound ones
+    When in 10 plays a part ends replicas after <least> to <most> s, <beside>
+    Then in each it reaches at most 3 replicas later than 3 s after the fifth end
+    And no other part is refused
+
+    Examples:
+      | least | most | beside                             |
+      | 0.02  | 0.08 | alone                              |
+      | 0.06  | 0.4  | alone                              |
+      | 0.02  | 0.6  | alone                              |
+      | 0.3   | 0.6  | alone                              |
+
+  Scenario Outline: Replicas that end for other reasons condemn a part
+    When in 10 plays replicas end for other reasons, <how>
+    Then no other part is refused
+
+    Examples:
+      | how                         |
+      | one replica after the other |
+      | a third of them at once     |
+      | all at once                 |
+
   Scenario Outline: What condemns a prompt part, and what does not
     Given two hosts that know no suspect parts
     When of requests with one prompt part <story>
@@ -125,6 +179,11 @@
       | a ends, 2 s pass, b runs one whole, 9 s pass, c ends, 2 s pass, d ends            | refused |
       | a ends, 2 s pass, b runs an older one whole, 9 s pass, c ends                     | refused |
       | a ends after the answer has begun, 2 s pass, b ends after the answer has begun    | sent    |
+      | a ends after the answer has begun, 2 s pass, b ends after the answer has begun, 2 s pass, c ends after the answer has begun | refused |
+      | a ends, 2 s pass, b ends after the answer has begun, 2 s pass, c ends after the answer has begun | refused |
+      | a ends after the answer has begun, b ends after the answer has begun, c ends after the answer has begun | sent |
+      | a ends after the answer has begun, 2 s pass, b ends after the answer has begun, 2 s pass, d runs the rest of one, c ends after the answer has begun | refused |
+      | a ends after the answer has begun, 2 s pass, b ends after the answer has begun, 2 s pass, d runs one whole, 6 s pass, c ends after the answer has begun | sent |
       | a ends, 2 s pass, b ends, 598 s pass                                              | refused |
       | a ends, 2 s pass, b ends, 601 s pass                                              | sent    |
 
--- a/features/steps/poison_decision_steps.py
+++ b/features/steps/poison_decision_steps.py
@@ -3,7 +3,12 @@
 
 import behave
 
-from features.machines import deterministic, poison_machine
+from features import poison_model
+from features.machines import (
+    deterministic,
+    poison_machine,
+    poison_parts_machine,
+)
 from papayaloom import ids
 from papayaloom.process import quarantine
 from papayaloom.routing import dispatch, dispatch_messages, replicas
@@ -150,6 +155,73 @@
     assert deterministic.finds(machine, steps, examples, put)
 
 
+@behave.then(
+    'the machine of poison parts finds nothing in {examples:d} runs of {steps:d} steps'
+)
+def parts_find_nothing(context, examples, steps):
+    deterministic.run(poison_parts_machine.PoisonPartsMachine, steps, examples)
+
+
+@behave.then(
+    'the machine of poison parts finds the fault "{fault}" in {examples:d} runs of {steps:d} steps'
+)
+def parts_find_fault(context, fault, examples, steps):
+    machine = poison_parts_machine.PoisonPartsMachine
+    put = poison_parts_machine.FAULTS[fault]
+    assert deterministic.finds(machine, steps, examples, put)
+
+
+DAYS = {
+    'one replica after the other': {'crash_every_s': 0.3, 'crash_share': 0.08},
+    'a third of them at once': {'crash_every_s': 2.5},
+    'all at once': {'crash_every_s': 2, 'crash_share': 1, 'back_s': 1},
+}
+
+
+def play(context, seeds, **ways):
+    cfg = poison_model.Cfg(**ways)
+    context.plays = [
+        poison_model.Model(cfg, seed).play() for seed in range(seeds)
+    ]
+
+
+@behave.when(
+    'in {seeds:d} plays a part ends replicas after {least:g} to {most:g} s, {beside}'
+)
+def part_ends(context, seeds, least, most, beside):
+    play(
+        context,
+        seeds,
+        deadly_per_s=0.67,
+        deadly_after_s=(least, most),
+        **DAYS.get(beside.removeprefix('beside '), {}),
+    )
+
+
+@behave.when('in {seeds:d} plays replicas end for other reasons, {how}')
+def other_reasons(context, seeds, how):
+    play(context, seeds, per_s=20, runs_s=(0.5, 4), **DAYS[how])
+
+
+@behave.then(
+    'in each it reaches at most {most:d} replicas later than 3 s after the fifth end'
+)
+def reaches_few(context, most):
+    for one in context.plays:
+        fifth = one.deadly_ends[4] if len(one.deadly_ends) > 4 else one.ended_at
+        late = [at for at in one.deadly_sent if at > fifth + 3]
+        assert len(late) <= most, late
+        assert poison_model.DEADLY in one.condemned
+
+
+@behave.then('no other part is refused')
+def no_other_refused(context):
+    found = [
+        set(one.condemned) - {poison_model.DEADLY} for one in context.plays
+    ]
+    assert not any(found), found
+
+
 PART = ids.Fingerprint('dead')
 
 
@@ -184,6 +256,7 @@
     )
     name, _, how = event.partition(' ')
     suspicion = None
+    is_rest = how == 'runs the rest of one'
     if how.startswith('ends'):
         suspicion = poison_evidence.Suspicion(
             subject.fingerprint,
@@ -199,7 +272,7 @@
             replicas.ReplicaId(name),
             began_at,
             suspicion,
-            is_success=suspicion is None,
+            is_success=suspicion is None and not is_rest,
         ),
         context.now,
     )
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -6,6 +6,7 @@
 from features import mortal_fleet
 
 _ENDS = 3
+_PART_ENDS = 5
 
 
 def late_answers(context, answers, seconds, least):
@@ -38,9 +39,20 @@
     'later than {seconds:g} s after its third end it has reached at most {most:d} replicas'
 )
 def is_stopped(context, seconds, most):
+    _assert_stopped(context, _ENDS, seconds, most)
+
+
+@behave.then(
+    'later than {seconds:g} s after its fifth end it has reached at most {most:d} replicas'
+)
+def part_is_stopped(context, seconds, most):
+    _assert_stopped(context, _PART_ENDS, seconds, most)
+
+
+def _assert_stopped(context, count, seconds, most):
     ends = context.fleet.poisoned()
     assert ends, 'no replica ended'
-    late = [at for at in ends[_ENDS:] if at > ends[_ENDS - 1] + seconds]
+    late = [at for at in ends[count:] if at > ends[count - 1] + seconds]
     assert len(late) <= most, (
         f'{len(late)} more than {seconds} s after, {len(ends)} ended in all'
     )
@@ -78,6 +90,52 @@
     context.add_cleanup(context.fleet.close)
 
 
+@behave.given(
+    '{gateways:d} gateway processes and {replicas:d} replicas that end at any event of a poison request'
+)
+def end_anywhere(context, gateways, replicas):
+    anywhere = mortal_fleet.ANYWHERE
+    context.fleet = mortal_fleet.Fleet(gateways, replicas, runs_to=anywhere)
+    context.add_cleanup(context.fleet.close)
+
+
+@behave.given(
+    '{gateways:d} gateway processes and {replicas:d} replicas with streams of {events:d} events'
+)
+def long_streams(context, gateways, replicas, events):
+    context.fleet = mortal_fleet.Fleet(gateways, replicas, events=events)
+    context.add_cleanup(context.fleet.close)
+
+
+@behave.when(
+    'replicas end for reasons of their own each {pause:g} s for {seconds:g} s, under streams to "{path}"'
+)
+def end_of_their_own(context, pause, seconds, path):
+    fleet = context.fleet
+    callers = [
+        mortal_fleet.Callers(fleet, 'POST', path, part=part, pause_s=0.05)
+        for part in ('50', '51', '52')
+    ]
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        fleet.end_next_replica()
+        time.sleep(pause)
+    for one in callers:
+        one.stop()
+    context.answers = [found for one in callers for found in one.answers]
+
+
+@behave.then(
+    'no caller is refused for a condemned part, and {least:d} are served'
+)
+def none_condemned(context, least):
+    served = 0
+    for _, answer in context.answers:
+        assert b'condemned' not in getattr(answer, 'content', b'')
+        served += answer.status == http.client.OK
+    assert served >= least, served
+
+
 @behave.when('one gateway process is killed and starts again')
 def restarted(context):
     context.fleet.restart(context.fleet.gateways[0])
@@ -134,10 +192,10 @@
 @behave.when(
     'requests with a poison part come as "{method}" "{path}" for {seconds:g} s, beside sound ones with the other parts'
 )
-def poison_part_comes(context, method, path, seconds):
+def poison_part_comes(context, method, path, seconds, **ways):
     fleet = context.fleet
     poisoned = mortal_fleet.Callers(
-        fleet, method, path, part=mortal_fleet.POISON_PART
+        fleet, method, path, part=mortal_fleet.POISON_PART, **ways
     )
     sound = mortal_fleet.Callers(fleet, method, path, part='50')
     time.sleep(seconds)
@@ -147,6 +205,13 @@
     context.sound_answers = sound.answers
 
 
+@behave.when(
+    'now and then requests with a poison part come as "{method}" "{path}" for {seconds:g} s, beside sound ones with the other parts'
+)
+def poison_part_comes_now_and_then(context, method, path, seconds):
+    poison_part_comes(context, method, path, seconds, count=1, pause_s=0.8)
+
+
 @behave.then(
     'later than {seconds:g} s after the last end all sound requests are served, at least {least:d}'
 )
--- a/papayaloom/process/attempt_results.py
+++ b/papayaloom/process/attempt_results.py
@@ -42,6 +42,8 @@
         is_hedge=copy.is_hedge,
         is_cancelled=copy.is_cancelled,
         is_refused=bool(failure and failure.is_refused),
+        is_remainder=job.progress.is_resumed
+        or bool(job.request_info.last_event_id),
     )
 
 
--- a/papayaloom/process/forward_job.py
+++ b/papayaloom/process/forward_job.py
@@ -96,6 +96,7 @@
 
 def count_failure(progress: forwarding.Progress, failure: Failure) -> None:
     """Add a failed attempt to the progress of its request."""
+    progress.is_resumed = progress.has_begun
     if failure.is_unreachable:
         return
     progress.sends += 1
--- a/papayaloom/process/forward_log.py
+++ b/papayaloom/process/forward_log.py
@@ -90,6 +90,6 @@
     job: forward_job.Job, failure: forward_job.Failure
 ) -> tuple[str, ...]:
     """Return the prompt parts that may have terminated the replica."""
-    if not failure.process_ended or failure.has_begun:
+    if not failure.process_ended:
         return ()
     return forward_job.shared_parts(job)
--- a/papayaloom/request/forwarding.py
+++ b/papayaloom/request/forwarding.py
@@ -39,11 +39,13 @@
     :param sends: failed attempts that reached a replica, including refused
         ones.
     :param has_begun: part of the response has been sent to the caller.
+    :param is_resumed: an attempt failed after that.
     """
 
     runs: int = 0
     sends: int = 0
     has_begun: bool = False
+    is_resumed: bool = False
 
 
 def after_failure(
--- a/papayaloom/routing/dispatch_messages.py
+++ b/papayaloom/routing/dispatch_messages.py
@@ -65,6 +65,8 @@
     :param is_cancelled: the other copy of the request was answered first.
     :param is_refused: the replica was full and did not run it.
     :param is_unbounded: the replica sent more than it may.
+    :param is_remainder: the rest of a stream that had begun before, at another
+        replica or for an earlier request of the caller.
     :param received_at: when the last part of the response was received, which
         may be long before this report on a busy host.
     """
@@ -85,6 +87,7 @@
     is_refused: bool = False
     is_unbounded: bool = False
     received_at: float | None = None
+    is_remainder: bool = False
 
 
 def subject(
@@ -103,5 +106,5 @@
         attempt_result.replica,
         now - (attempt_result.duration_s or 0),
         attempt_result.suspicion,
-        attempt_result.is_success,
+        attempt_result.is_success and not attempt_result.is_remainder,
     )
--- a/papayaloom/routing/poison/poison.py
+++ b/papayaloom/routing/poison/poison.py
@@ -12,17 +12,18 @@
 """
 
 import collections
-import typing
 
 import msgspec
 
 from papayaloom import ids
 from papayaloom.process import quarantine
-from papayaloom.routing import replicas
-from papayaloom.routing.poison import poison_evidence, poison_suspects
-
-# Maximum number of suspects, and of known good requests, that a host tracks.
-_MAX_FINGERPRINTS = 4096
+from papayaloom.routing.poison import (
+    known_good,
+    poison_evidence,
+    poison_suspects,
+    recent_terminations,
+    termination_rate,
+)
 
 
 class Cfg(msgspec.Struct, frozen=True):
@@ -41,6 +42,10 @@
         termination counts; 0 if verdicts are made, and kept, at once.
     :param reports_each: whether a complete response is reported also if it
         clears a single termination.
+    :param chance: probability, up to which a suspect is condemned, that the
+        terminations under it are chance.
+    :param doubt: factor on ``chance`` for each other replica that terminated
+        for one under the suspect.
     """
 
     early_ends: int = 2
@@ -52,30 +57,29 @@
     moment_s: float = 0
     settle_s: float = 0
     reports_each: bool = False
-
-
-class _Completion(msgspec.Struct):
-    """A complete response.
-
-    :param is_reported: whether the other hosts know of it.
-    """
-
-    at: float
-    is_reported: bool
+    chance: float = 0.02
+    doubt: float = 0.015
 
 
 class PoisonTracker:
     """Suspect and condemned requests known to one host."""
 
-    def __init__(self, cfg: Cfg) -> None:
-        """Start without suspects."""
+    def __init__(
+        self,
+        cfg: Cfg,
+        rate: termination_rate.TerminationRate | None = None,
+    ) -> None:
+        """Start without suspects.
+
+        :param rate: of all requests; None if chance is ruled out because few
+            requests are alike.
+        """
         self._cfg = cfg
+        self._rate = rate
         self._suspects: poison_suspects.Suspects = collections.OrderedDict()
-        self._known_good: collections.OrderedDict[
-            ids.Fingerprint, _Completion
-        ] = collections.OrderedDict()
+        self._known_good = known_good.KnownGood(cfg.sound_s)
         self._released: dict[ids.Fingerprint, float] = {}
-        self._ends: dict[replicas.ReplicaStart, float] = {}
+        self._recent = recent_terminations.RecentTerminations()
         self._running: dict[str, collections.Counter[ids.Fingerprint]] = (
             collections.defaultdict(collections.Counter)
         )
@@ -151,7 +155,7 @@
         )
         if is_reported:
             self._pending.append(poison_evidence.Report(cleared=(fingerprint,)))
-        self._record_completion(fingerprint, _Completion(now, is_reported))
+        self._known_good.record(fingerprint, now, is_reported=is_reported)
 
     def record_termination(
         self, suspicion: poison_evidence.Suspicion, now: float
@@ -183,7 +187,7 @@
                 suspect.condemned_at = now
                 suspect.reported_at = now
         for cleared in report.cleared:
-            self._record_completion(cleared, _Completion(now, is_reported=True))
+            self._known_good.record(cleared, now, is_reported=True)
             self._suspects.pop(cleared, None)
 
     def has_report(self) -> bool:
@@ -201,11 +205,7 @@
         for name, suspect in list(self._suspects.items()):
             if suspect.is_expired(self._cfg.memory_s, now):
                 self._suspects.pop(name)
-        self._ends = {
-            start: at
-            for start, at in self._ends.items()
-            if now - at < self._cfg.unrest_s
-        }
+        self._recent.forget_old(now)
         self._released = {
             fingerprint: at
             for fingerprint, at in self._released.items()
@@ -229,18 +229,20 @@
         self, suspicion: poison_evidence.Suspicion, now: float
     ) -> bool:
         """Record a suspicion and return whether it counts and is new."""
-        heard_at = self._ends.setdefault(suspicion.start, now)
-        if self._is_known_good(suspicion.fingerprint, now):
+        heard_at = self._recent.record(suspicion.start, now)
+        if self._known_good.is_recent(suspicion.fingerprint, now):
             return False
         suspect = self._suspects.setdefault(
             suspicion.fingerprint, poison_suspects.Suspect({})
         )
-        _evict_oldest(self._suspects)
-        if suspicion.start in suspect.ends:
+        known_good.evict_oldest(self._suspects)
+        known = suspect.ends.get(suspicion.start)
+        if known is not None and self._rate is None:
             return False
-        suspect.ends[suspicion.start] = poison_suspects.Termination(
-            heard_at, suspicion.has_begun
-        )
+        termination = poison_suspects.termination(suspicion, heard_at, known)
+        if termination == known:
+            return False
+        suspect.ends[suspicion.start] = termination
         suspect.depth = suspicion.depth
         if self._cfg.settle_s or suspect.condemned_at is not None:
             return True
@@ -330,10 +332,9 @@
 
         :returns: whether the request had a recent complete response.
         """
-        if not self._is_known_good(fingerprint, now):
+        if not self._known_good.is_recent(fingerprint, now):
             return False
-        if not self._known_good[fingerprint].is_reported:
-            self._known_good[fingerprint].is_reported = True
+        if self._known_good.needs_report(fingerprint):
             self._pending.append(poison_evidence.Report(cleared=(fingerprint,)))
         return True
 
@@ -348,22 +349,40 @@
         :param ends: those that count.
         """
         cfg = self._cfg
-        times = [one.at for one in ends.values()]
-        if poison_suspects.count_moments(times, cfg.moment_s) >= cfg.ends:
+        early = poison_suspects.early_ends(ends)
+        early_moments = poison_suspects.count_moments(early, cfg.moment_s)
+        moments = poison_suspects.count_moments(ends, cfg.moment_s)
+        if moments < cfg.early_ends or self._may_be_chance(suspect, ends, now):
+            return False
+        if moments >= cfg.ends:
             return True
-        early = [one.at for one in ends.values() if not one.has_begun]
-        moments = poison_suspects.count_moments(early, cfg.moment_s)
-        if moments < cfg.early_ends or poison_suspects.ran_with_condemned(
-            suspect, self._suspects
-        ):
+        if early_moments < cfg.early_ends:
             return False
-        unrelated = [
-            start
-            for start, at in self._ends.items()
-            if start not in suspect.ends and now - at < cfg.unrest_s
-        ]
+        if poison_suspects.ran_with_condemned(suspect, self._suspects):
+            return False
+        unrelated = self._recent.others(suspect.ends, now - cfg.unrest_s)
         return len(unrelated) < cfg.unrest_ends
 
+    def _may_be_chance(
+        self,
+        suspect: poison_suspects.Suspect,
+        ends: poison_suspects.Terminations,
+        now: float,
+    ) -> bool:
+        """Whether as many terminations are likely in the time of the runs.
+
+        The more other replicas terminate, the stronger the evidence must be.
+        """
+        if self._rate is None:
+            return False
+        cfg = self._cfg
+        moments = poison_suspects.count_moments(ends, cfg.moment_s)
+        runs_s = [ran_s for one in ends.values() for ran_s in one.runs_s]
+        chance = self._rate.chance(moments, runs_s, now)
+        explained = poison_suspects.explained_starts(self._condemned())
+        others = self._recent.others_for_each(ends, {*suspect.ends, *explained})
+        return chance >= cfg.chance * cfg.doubt**others
+
     def _report_condemned(
         self,
         fingerprint: ids.Fingerprint,
@@ -372,24 +391,3 @@
     ) -> None:
         suspect.reported_at = now
         self._pending.append(poison_evidence.Report(condemned=(fingerprint,)))
-
-    def _is_known_good(self, fingerprint: ids.Fingerprint, now: float) -> bool:
-        completion = self._known_good.get(fingerprint)
-        return (
-            completion is not None and now - completion.at < self._cfg.sound_s
-        )
-
-    def _record_completion(
-        self, fingerprint: ids.Fingerprint, completion: _Completion
-    ) -> None:
-        self._known_good[fingerprint] = completion
-        self._known_good.move_to_end(fingerprint)
-        _evict_oldest(self._known_good)
-
-
-def _evict_oldest(
-    entries: collections.OrderedDict[ids.Fingerprint, typing.Any],
-) -> None:
-    """Evict the oldest requests above the limit."""
-    while len(entries) > _MAX_FINGERPRINTS:
-        entries.popitem(last=False)
--- a/papayaloom/routing/poison/poison_detector.py
+++ b/papayaloom/routing/poison/poison_detector.py
@@ -27,7 +27,11 @@
 from papayaloom import ids
 from papayaloom.process import quarantine
 from papayaloom.routing import replicas
-from papayaloom.routing.poison import poison, poison_evidence
+from papayaloom.routing.poison import (
+    poison,
+    poison_evidence,
+    termination_rate,
+)
 
 _PARTS_CFG = poison.Cfg(sound_s=5, moment_s=1, settle_s=0.5, reports_each=True)
 
@@ -48,7 +52,9 @@
 
     :param began_at: time at which it was sent.
     :param suspicion: set if the replica terminated during the attempt.
-    :param is_success: the response was complete and no error.
+    :param is_success: the response was complete and no error. The rest of a
+        stream that had begun at another replica is not: what terminates
+        replicas may have been behind it.
     """
 
     subject: Subject
@@ -64,7 +70,8 @@
     def __init__(self, cfg: poison.Cfg) -> None:
         """Start without suspects."""
         self._requests = poison.PoisonTracker(cfg)
-        self._parts = poison.PoisonTracker(_PARTS_CFG)
+        self._rate = termination_rate.TerminationRate()
+        self._parts = poison.PoisonTracker(_PARTS_CFG, self._rate)
 
     def condemned(self, subject: Subject, now: float) -> ids.Fingerprint | None:
         """Return what is condemned of a request, or None if it may run."""
@@ -112,11 +119,20 @@
         """Record the end of an attempt and what it says about the request."""
         fingerprint = attempt.subject.fingerprint
         self._requests.record_attempt_end(fingerprint, attempt.replica)
+        if attempt.subject.parts:
+            self._rate.record(
+                now - attempt.began_at,
+                now,
+                is_terminated=attempt.suspicion is not None,
+            )
         if attempt.suspicion is not None:
             self._record_termination(attempt, attempt.suspicion, now)
         if attempt.is_success:
             self._requests.record_complete_response(fingerprint, now)
-            self._acquit_parts(attempt, now)
+            for part in attempt.subject.parts:
+                self._parts.record_complete_response(
+                    part, now, attempt.began_at
+                )
 
     def apply_report(self, report: poison_evidence.Report, now: float) -> None:
         """Apply a report of another host."""
@@ -152,15 +168,12 @@
         self, attempt: Attempt, suspicion: poison_evidence.Suspicion, now: float
     ) -> None:
         self._requests.record_termination(suspicion, now)
-        if suspicion.has_begun:
-            self._acquit_parts(attempt, now)
-            return
         for depth, part in enumerate(attempt.subject.parts):
-            self._parts.record_termination(
-                poison_evidence.Suspicion(part, suspicion.start, depth=depth),
-                now,
+            found = poison_evidence.Suspicion(
+                part,
+                suspicion.start,
+                suspicion.has_begun,
+                depth,
+                ran_s=now - attempt.began_at,
             )
-
-    def _acquit_parts(self, attempt: Attempt, now: float) -> None:
-        for part in attempt.subject.parts:
-            self._parts.record_complete_response(part, now, attempt.began_at)
+            self._parts.record_termination(found, now)
--- a/papayaloom/routing/poison/poison_evidence.py
+++ b/papayaloom/routing/poison/poison_evidence.py
@@ -17,12 +17,15 @@
     :param has_begun: the response had gone beyond its first event.
     :param depth: position in the prompt, for a part of it; of several parts, the
         last is in the fewest requests.
+    :param ran_s: seconds for which the request had run there, for a part of its
+        prompt; of several requests with it, the sum.
     """
 
     fingerprint: ids.Fingerprint = msgspec.field(name='mark')
     start: replicas.ReplicaStart
     has_begun: bool = False
     depth: int = 0
+    ran_s: float = 0
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -58,7 +61,7 @@
     parts = list(reports)
     cleared = _unique(one.cleared for one in parts)
     released = _unique(one.released for one in parts)
-    suspicions = tuple(
+    suspicions = _merged(
         suspicion
         for one in parts
         for suspicion in one.suspicions
@@ -73,6 +76,20 @@
     return Report(suspicions, condemned, cleared, released=released)
 
 
+def _merged(found: typing.Iterable[Suspicion]) -> tuple[Suspicion, ...]:
+    """Return one suspicion for each part and start of a replica."""
+    merged: dict[tuple[ids.Fingerprint, replicas.ReplicaStart], Suspicion] = {}
+    for one in found:
+        known = merged.setdefault((one.fingerprint, one.start), one)
+        if known is not one:
+            merged[one.fingerprint, one.start] = msgspec.structs.replace(
+                known,
+                has_begun=known.has_begun or one.has_begun,
+                ran_s=known.ran_s + one.ran_s,
+            )
+    return tuple(merged.values())
+
+
 def _unique(
     names: typing.Iterable[tuple[ids.Fingerprint, ...]],
 ) -> tuple[ids.Fingerprint, ...]:
--- a/papayaloom/routing/poison/poison_suspects.py
+++ b/papayaloom/routing/poison/poison_suspects.py
@@ -7,6 +7,7 @@
 
 from papayaloom import ids
 from papayaloom.routing import replicas
+from papayaloom.routing.poison import poison_evidence
 
 
 class Termination(msgspec.Struct, frozen=True):
@@ -14,11 +15,14 @@
 
     :param at: monotonic time at which this host first heard of it, whatever
         ran there: it settles at the same time for all suspects.
-    :param has_begun: the response had gone beyond its first event.
+    :param has_begun: a response had gone beyond its first event.
+    :param runs_s: seconds for which requests had run; each value once, since
+        reports may arrive twice.
     """
 
     at: float
     has_begun: bool
+    runs_s: frozenset[float] = frozenset()
 
 
 Terminations = dict[replicas.ReplicaStart, Termination]
@@ -51,6 +55,29 @@
 Suspects = collections.OrderedDict[ids.Fingerprint, Suspect]
 
 
+def termination(
+    suspicion: poison_evidence.Suspicion,
+    heard_at: float,
+    known: Termination | None,
+) -> Termination:
+    """Return a termination with what a suspicion says about it.
+
+    :param heard_at: monotonic time of the first word of the termination.
+    :param known: what is known so far.
+    """
+    known = known or Termination(heard_at, has_begun=False)
+    return Termination(
+        known.at,
+        known.has_begun or suspicion.has_begun,
+        known.runs_s | {suspicion.ran_s},
+    )
+
+
+def early_ends(ends: Terminations) -> Terminations:
+    """Return the terminations before a response had gone on."""
+    return {start: end for start, end in ends.items() if not end.has_begun}
+
+
 def explained_starts(condemned: Suspects) -> set[replicas.ReplicaStart]:
     """Return the terminated replicas that ran a condemned suspect."""
     return {start for suspect in condemned.values() for start in suspect.ends}
@@ -66,13 +93,13 @@
     """
     if other.depth <= suspect.depth:
         return False
-    rest = [
-        end.at for start, end in suspect.ends.items() if start not in other.ends
-    ]
-    known = [end.at for end in suspect.ends.values()]
-    return (
-        count_moments(rest, moment_s) < least <= count_moments(known, moment_s)
-    )
+    rest = {
+        start: end
+        for start, end in suspect.ends.items()
+        if start not in other.ends
+    }
+    known = count_moments(suspect.ends, moment_s)
+    return count_moments(rest, moment_s) < least <= known
 
 
 def unexplained_ends(
@@ -106,11 +133,11 @@
     )
 
 
-def count_moments(times: typing.Iterable[float], moment_s: float) -> int:
-    """Return the number of times, counting those close together once."""
+def count_moments(ends: Terminations, moment_s: float) -> int:
+    """Return the number of terminations; those close together count once."""
     count = 0
     counted_at = float('-inf')
-    for at in sorted(times):
+    for at in sorted(end.at for end in ends.values()):
         if at - counted_at >= moment_s:
             count += 1
             counted_at = at
