Poison: bound the terms of the chance test

Cause: read in the diff: `expected**number` overflows where a part of all prompts has run for long while replicas end without pause (600 ends in 60,000 s of runs raise OverflowError in the actor). Change: each term of the distribution is computed from the one before; the comparison with other ends is made only if it can matter.

--- a/features/poison.feature
+++ b/features/poison.feature
@@ -153,6 +153,21 @@
       | 0.02  | 0.6  | alone                              |
       | 0.3   | 0.6  | alone                              |
 
+  # Guards against an overflow: a part of all prompts, while replicas end without pause for ten minutes.
+  Scenario Outline: Whether chance explains ends
+    Given a host that knows no suspects
+    When under its other prompts replicas end <others> times in <ran> s
+    Then <count> ends in <part> s of one part are <how>
+
+    Examples:
+      | others | ran    | count | part  | how         |
+      | 0      | 0      | 2     | 0.4   | no chance   |
+      | 0      | 0      | 2     | 30    | likely      |
+      | 90     | 300    | 3     | 0.4   | no chance   |
+      | 90     | 300    | 3     | 10    | likely      |
+      | 9000   | 30000  | 600   | 60000 | likely      |
+      | 9000   | 30000  | 4     | 1     | no chance   |
+
   Scenario Outline: Replicas that end for other reasons condemn a part
     When in 10 plays replicas end for other reasons, <how>
     Then no other part is refused
--- a/features/steps/poison_decision_steps.py
+++ b/features/steps/poison_decision_steps.py
@@ -12,7 +12,12 @@
 from papayaloom import ids
 from papayaloom.process import quarantine
 from papayaloom.routing import dispatch, dispatch_messages, replicas
-from papayaloom.routing.poison import poison, poison_detector, poison_evidence
+from papayaloom.routing.poison import (
+    poison,
+    poison_detector,
+    poison_evidence,
+    termination_rate,
+)
 
 POOL = ids.ServiceId('pool')
 _HOW = {
@@ -171,6 +176,22 @@
     assert deterministic.finds(machine, steps, examples, put)
 
 
+@behave.when(
+    'under its other prompts replicas end {others:d} times in {ran:g} s'
+)
+def other_prompts(context, others, ran):
+    context.rate = termination_rate.TerminationRate()
+    context.rate.record(ran, context.now, is_terminated=False)
+    for _ in range(others):
+        context.rate.record(0, context.now, is_terminated=True)
+
+
+@behave.then('{count:d} ends in {part:g} s of one part are {how}')
+def are_chance(context, count, part, how):
+    chance = context.rate.chance(count, [part], context.now)
+    assert (chance >= poison.Cfg().chance) == (how == 'likely'), chance
+
+
 DAYS = {
     'one replica after the other': {'crash_every_s': 0.3, 'crash_share': 0.08},
     'a third of them at once': {'crash_every_s': 2.5},
--- a/papayaloom/routing/poison/poison.py
+++ b/papayaloom/routing/poison/poison.py
@@ -379,6 +379,8 @@
         moments = poison_suspects.count_moments(ends, cfg.moment_s)
         runs_s = [ran_s for one in ends.values() for ran_s in one.runs_s]
         chance = self._rate.chance(moments, runs_s, now)
+        if chance >= cfg.chance:
+            return True
         explained = poison_suspects.explained_starts(self._condemned())
         others = self._recent.others_for_each(ends, {*suspect.ends, *explained})
         return chance >= cfg.chance * cfg.doubt**others
--- a/papayaloom/routing/poison/termination_rate.py
+++ b/papayaloom/routing/poison/termination_rate.py
@@ -48,10 +48,13 @@
         :param runs_s: seconds for which the requests under them had run.
         """
         expected = self.per_second(now) * sum(runs_s)
-        fewer = sum(
-            expected**number / math.factorial(number) for number in range(count)
-        )
-        return max(1 - math.exp(-expected) * fewer, 0)
+        # The terms of a Poisson distribution, each from the one before.
+        term = math.exp(-expected)
+        fewer = term
+        for number in range(1, count):
+            term *= expected / number
+            fewer += term
+        return max(1 - fewer, 0)
 
     def _fade(self, now: float) -> None:
         share = math.exp(min(self._faded_at - now, 0) / _FADE_S)
