Poison and event ids: module pages say what the code does now

Cause: read as a newcomer, the docstring of poison_detector.py still said that a response that began acquits. Change: docstrings and docs/design.md only; no statement is changed.

--- a/papayaloom/routing/poison/poison.py
+++ b/papayaloom/routing/poison/poison.py
@@ -8,7 +8,8 @@
 A request that ran to a complete response is not poison. A termination after the
 response had gone beyond its first event is weaker evidence than an earlier one:
 a poison request usually terminates a replica as it starts, while a request that
-had run for long was probably present by chance.
+had run for long was probably present by chance. Where many requests are alike,
+the rate of all terminations tells how probable that is.
 """
 
 import collections
--- a/papayaloom/routing/poison/poison_detector.py
+++ b/papayaloom/routing/poison/poison_detector.py
@@ -1,16 +1,20 @@
 """Detects poison in requests: whole requests, and parts of their prompts.
 
-A replica may terminate whenever it begins a response to a prompt that contains
-a certain part. Requests with that part differ in all else, so no fingerprint of
+A replica may terminate whenever it responds to a prompt that contains a certain
+part, at any event of the response. Requests with that part differ in all else, so no fingerprint of
 a whole request repeats. Each part that other requests may share is therefore
 tracked by itself:
 
-- A part is suspect if it was in a request whose response had not begun when the
-  replica terminated. Terminations at the same moment count once, since they may
-  have one cause outside of the requests.
-- A response that began acquits all parts of its prompt of earlier terminations.
-  A part that was in a complete response of the last seconds is not suspected,
-  so the parts that most requests share stay free in a mass termination.
+- A part is suspect if it was in a request that ran when the replica terminated.
+  Terminations at the same moment count once, since they may have one cause
+  outside of the requests.
+- A replica that terminates for another reason runs many requests. So a suspect
+  is not condemned while chance explains its terminations, by the time for which
+  the requests had run and by the other replicas that terminated.
+- Only a complete response, from its beginning, acquits all parts of its prompt
+  of earlier terminations. A part that was in one of the last seconds is not
+  suspected, so the parts that most requests share stay free in a mass
+  termination.
 - Hosts wait a moment for each other's evidence. Of several parts with the same
   terminations the last in the prompt is condemned, and terminations that it
   explains do not count against the others: the first part may be in all
